--- /dev/null
+++ b/packages/lavenderway-core/lavenderway_core/admission.py
@@ -0,0 +1,183 @@
+"""Admission control in front of one upstream, on the node of its host."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from lavenderway_core.backlog import Backlog, Waiting
+from lavenderway_core.importance import Importance
+from lavenderway_core.limiter import Limiter, Sample
+
+if TYPE_CHECKING:
+    from lavenderway_core.ids import JobId, RouteId
+
+STALL_S = 0.5
+STALL_RATIO = 10.0  # silence relative to the usual time of an answer
+USUAL_GAIN = 0.05
+QUEUE_TARGET_S = 0.05
+QUEUE_INTERVAL_S = 0.1
+QUEUE_MAX_WAIT_S = 0.25
+QUEUE_MIN_LENGTH = 8
+QUEUE_PER_LIMIT = 2.0
+LEVEL_WINDOW_S = 0.1
+NOTHING_SHED = len(Importance)
+
+
+class LoadReport(NamedTuple):
+    """Load of an upstream as its node sees it, carried on each reply.
+
+    Attributes:
+        in_flight: Requests that run.
+        queued: Requests that wait.
+        limit: Concurrency limit.
+        shed_from: Lowest importance number that was wholly refused in the last
+            window; `NOTHING_SHED` if none was.
+
+    """
+
+    in_flight: int
+    queued: int
+    limit: float
+    shed_from: int
+
+
+class Offer(NamedTuple):
+    """Decision on a job: whether it starts now, and which job is shed for it."""
+
+    starts: bool
+    shed: Waiting | None
+
+
+class Running(NamedTuple):
+    """A job that was given to the upstream.
+
+    Attributes:
+        started: Time of the start, in seconds.
+        in_flight: Jobs in flight at the start, with this one.
+
+    """
+
+    started: float
+    in_flight: int
+
+
+class Admission:
+    """Limit and queue of one upstream.
+
+    Args:
+        now: Present time in seconds.
+
+    """
+
+    def __init__(self, *, now: float) -> None:
+        self.limiter = Limiter(now=now)
+        self.backlog = Backlog()
+        self.running: dict[JobId, Running] = {}
+        self._last_answer = now
+        self._usual_s = 0.0
+        self._above_target_since: float | None = None
+        self._level_ends = now + LEVEL_WINDOW_S
+        self._shed_from = NOTHING_SHED
+        self._admitted = [0] * len(Importance)
+        self._refused = [0] * len(Importance)
+
+    def offer(self, waiting: Waiting, now: float) -> Offer:
+        """Decide on a job that has just arrived."""
+        self._roll_level(now)
+        if not len(self.backlog) and len(self.running) < self._slots:
+            self.start(waiting, now)
+            return Offer(starts=True, shed=None)
+        if len(self.backlog) < self._queue_length:
+            self.backlog.push(waiting)
+            return Offer(starts=False, shed=None)
+        victim = self.backlog.shed_for(waiting)
+        if victim is not waiting:
+            self.backlog.push(waiting)
+        self.count_refusal(victim.importance)
+        return Offer(starts=False, shed=victim)
+
+    def start(self, waiting: Waiting, now: float) -> None:
+        """Count a job as running."""
+        self._admitted[waiting.importance] += 1
+        if not self.running:
+            self._last_answer = now
+        in_flight = len(self.running) + 1
+        self.running[waiting.job] = Running(now, in_flight)
+        self.limiter.record_start(in_flight)
+
+    def next_startable(self, now: float) -> Waiting | None:
+        """Start the next waiting job if the limit allows; return it."""
+        if len(self.running) >= self._slots:
+            return None
+        waiting = self.backlog.pop()
+        if waiting is not None:
+            self.start(waiting, now)
+        return waiting
+
+    def sheds_standing_queue(self, waiting: Waiting, now: float) -> bool:
+        """Tell whether a job leaving the queue is shed by controlled delay.
+
+        A queue whose delay has stayed above the target for an interval sheds what
+        has waited too long; critical requests are spared.
+        """
+        delay = now - waiting.since
+        if delay < QUEUE_TARGET_S:
+            self._above_target_since = None
+            return False
+        if self._above_target_since is None:
+            self._above_target_since = now
+        if waiting.importance is Importance.CRITICAL:
+            return False
+        return now - self._above_target_since > QUEUE_INTERVAL_S
+
+    def finish(self, job: JobId) -> Running | None:
+        """End a running job; return how it began, None if it was not running."""
+        return self.running.pop(job, None)
+
+    def record_success(
+        self, route: RouteId, begun: Running, own_s: float, now: float
+    ) -> None:
+        """Learn from a whole answer with `own_s` seconds of the upstream's own time."""
+        total_s = now - begun.started
+        self._last_answer = now
+        self._usual_s += (total_s - self._usual_s) * USUAL_GAIN
+        sample = Sample(route, begun.started, total_s, own_s, begun.in_flight)
+        self.limiter.record_success(sample, now)
+
+    def is_stalled(self, now: float) -> bool:
+        """Tell whether the upstream has been silent for far longer than usual."""
+        if len(self.running) < self._slots:
+            return False
+        patience_s = max(STALL_S, self._usual_s * STALL_RATIO)
+        return now - self._last_answer > patience_s
+
+    def count_refusal(self, importance: Importance) -> None:
+        """Count a refused job for the shedding level."""
+        self._refused[importance] += 1
+
+    def report(self, now: float) -> LoadReport:
+        """Return the load to send along with a reply."""
+        self._roll_level(now)
+        return LoadReport(
+            len(self.running), len(self.backlog), self.limiter.limit, self._shed_from
+        )
+
+    @property
+    def _slots(self) -> int:
+        return max(1, int(self.limiter.limit))
+
+    @property
+    def _queue_length(self) -> int:
+        return max(QUEUE_MIN_LENGTH, int(self.limiter.limit * QUEUE_PER_LIMIT))
+
+    def _roll_level(self, now: float) -> None:
+        if now < self._level_ends:
+            return
+        self._level_ends = now + LEVEL_WINDOW_S
+        self._shed_from = NOTHING_SHED
+        for importance in reversed(Importance):
+            if self._admitted[importance] or not self._refused[importance]:
+                break
+            self._shed_from = importance
+        self._admitted = [0] * len(Importance)
+        self._refused = [0] * len(Importance)
--- /dev/null
+++ b/packages/lavenderway-core/lavenderway_core/validation.py
@@ -0,0 +1,301 @@
+"""Checks resource documents and reports all findings with their places."""
+
+from __future__ import annotations
+
+import math
+import re
+from collections.abc import Callable, Mapping
+from typing import NamedTuple, TypeVar
+
+from returns.result import Failure, Result, Success
+
+from lavenderway_core.ids import KeyId, RouteId, ServiceId, UpstreamId, WorkspaceId
+from lavenderway_core.importance import Importance
+from lavenderway_core.resources import (
+    CutOffPolicy,
+    KeySpec,
+    Kind,
+    RouteSpec,
+    Spec,
+    UpstreamSpec,
+    WorkspaceSpec,
+)
+
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
+DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
+HTTP_METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
+DEFAULT_TIMEOUT_MS = 10_000
+MAX_TIMEOUT_MS = 600_000
+DEFAULT_MAX_BODY_BYTES = 1 << 20
+MAX_BODY_BYTES = 64 << 20
+DEFAULT_CUT_OFF_AFTER_S = 60.0
+
+T = TypeVar("T")
+
+
+class Finding(NamedTuple):
+    """One mistake in a document.
+
+    Attributes:
+        place: Key path, such as `spec.rate`.
+        problem: What is wrong.
+        expected: What would be valid.
+
+    """
+
+    place: str
+    problem: str
+    expected: str
+
+    def __str__(self) -> str:
+        """Return the finding as one line."""
+        return f"{self.place}: {self.problem}; expected {self.expected}"
+
+
+class Reader:
+    """Reads fields of one document and collects findings.
+
+    Args:
+        document: Mapping to read.
+        place: Key path of the mapping, for findings.
+
+    """
+
+    def __init__(self, *, document: Mapping[str, object], place: str) -> None:
+        self.findings: list[Finding] = []
+        self._document = document
+        self._place = place
+        self._seen: set[str] = set()
+
+    def report(self, key: str, problem: str, expected: str) -> None:
+        """Add a finding for the field `key`."""
+        place = f"{self._place}.{key}" if self._place else key
+        self.findings.append(Finding(place, problem, expected))
+
+    def take(
+        self, key: str, parse: Callable[[object], T | None], expected: str, default: T
+    ) -> T:
+        """Return the parsed field, or `default` when absent or wrong."""
+        self._seen.add(key)
+        if key not in self._document:
+            return default
+        value = self._document[key]
+        parsed = parse(value)
+        if parsed is None:
+            self.report(key, f"{value!r} is not valid", expected)
+            return default
+        return parsed
+
+    def require(
+        self, key: str, parse: Callable[[object], T | None], expected: str, default: T
+    ) -> T:
+        """Like `take`, with a finding when the field is absent."""
+        if key not in self._document:
+            self._seen.add(key)
+            self.report(key, "is missing", expected)
+            return default
+        return self.take(key, parse, expected, default)
+
+    def finish(self) -> None:
+        """Report fields that nothing has read."""
+        known = ", ".join(sorted(self._seen))
+        for key in self._document:
+            if key not in self._seen:
+                self.report(key, "is not a known field", f"one of {known}")
+
+
+def parse_text(value: object) -> str | None:
+    """Return a non-empty string, or None."""
+    return value if isinstance(value, str) and value else None
+
+
+def parse_bool(value: object) -> bool | None:
+    """Return a boolean, or None."""
+    return value if isinstance(value, bool) else None
+
+
+def parse_name(value: object) -> str | None:
+    """Return a valid resource name, or None."""
+    text = parse_text(value)
+    return text if text and NAME_PATTERN.fullmatch(text) else None
+
+
+def parse_positive(value: object) -> float | None:
+    """Return a finite positive number, or None."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    number = float(value)
+    return number if math.isfinite(number) and number > 0 else None
+
+
+def bounded_int(low: int, high: int) -> Callable[[object], int | None]:
+    """Return a parser of integers from `low` to `high`."""
+
+    def parse(value: object) -> int | None:
+        if isinstance(value, bool) or not isinstance(value, int):
+            return None
+        return value if low <= value <= high else None
+
+    return parse
+
+
+def parse_importance(value: object) -> Importance | None:
+    """Return the importance class named by `value`, or None."""
+    return Importance.parse(value) if isinstance(value, str) else None
+
+
+def parse_cut_off(value: object) -> CutOffPolicy | None:
+    """Return the policy named by `value`, or None."""
+    return next((policy for policy in CutOffPolicy if policy.value == value), None)
+
+
+def parse_path_prefix(value: object) -> str | None:
+    """Return a path prefix that starts with a slash, or None."""
+    text = parse_text(value)
+    if text is None or not text.startswith("/"):
+        return None
+    return None if set(text) & set("?# ") or "//" in text else text
+
+
+def _parse_set(value: object, allowed: Callable[[str], bool]) -> frozenset[str] | None:
+    if not isinstance(value, list):
+        return None
+    if not all(isinstance(item, str) and allowed(item) for item in value):
+        return None
+    return frozenset(value)
+
+
+def parse_names(value: object) -> frozenset[str] | None:
+    """Return a set of resource names, or None."""
+    return _parse_set(value, lambda item: NAME_PATTERN.fullmatch(item) is not None)
+
+
+def parse_methods(value: object) -> frozenset[str] | None:
+    """Return a set of HTTP methods, or None."""
+    return _parse_set(value, lambda item: item in HTTP_METHODS)
+
+
+def parse_digest(value: object) -> str | None:
+    """Return a SHA-256 digest in lower-case hexadecimal, or None."""
+    text = parse_text(value)
+    return text if text and DIGEST_PATTERN.fullmatch(text) else None
+
+
+Parser = Callable[[str, Reader], Spec]
+_PARSERS: dict[Kind, Parser] = {}
+
+
+def parses(kind: Kind) -> Callable[[Parser], Parser]:
+    """Register the parser of specifications of `kind`."""
+
+    def register(parser: Parser) -> Parser:
+        _PARSERS[kind] = parser
+        return parser
+
+    return register
+
+
+@parses(Kind.WORKSPACE)
+def parse_workspace(name: str, reader: Reader) -> WorkspaceSpec:
+    """Read a workspace."""
+    number = "a number greater than 0"
+    return WorkspaceSpec(
+        name=WorkspaceId(name),
+        rate_per_s=reader.require("rate", parse_positive, number, 1.0),
+        burst=reader.require("burst", parse_positive, number, 1.0),
+        weight=reader.take("weight", parse_positive, number, 1.0),
+        cut_off=reader.take(
+            "cut_off", parse_cut_off, "'serve' or 'refuse'", CutOffPolicy.SERVE
+        ),
+        cut_off_after_s=reader.take(
+            "cut_off_after_s", parse_positive, number, DEFAULT_CUT_OFF_AFTER_S
+        ),
+    )
+
+
+@parses(Kind.KEY)
+def parse_key(name: str, reader: Reader) -> KeySpec:
+    """Read a key."""
+    return KeySpec(
+        name=KeyId(name),
+        workspace=WorkspaceId(
+            reader.require("workspace", parse_name, "the name of a workspace", "")
+        ),
+        digest=reader.require("digest", parse_digest, "64 hexadecimal digits", ""),
+    )
+
+
+@parses(Kind.ROUTE)
+def parse_route(name: str, reader: Reader) -> RouteSpec:
+    """Read a route."""
+    importances = ", ".join(member.label for member in Importance)
+    prefix = "a path that starts with '/', without query"
+    everyone: frozenset[str] = frozenset()
+    workspaces = reader.take(
+        "workspaces", parse_names, "a list of workspace names", everyone
+    )
+    return RouteSpec(
+        name=RouteId(name),
+        path_prefix=reader.require("path_prefix", parse_path_prefix, prefix, "/"),
+        service=ServiceId(
+            reader.require("service", parse_name, "the name of a service", "")
+        ),
+        idempotent=reader.require("idempotent", parse_bool, "true or false", False),
+        importance=reader.take(
+            "importance", parse_importance, f"one of {importances}", Importance.NORMAL
+        ),
+        open_to_all=reader.take("open_to_all", parse_bool, "true or false", False),
+        workspaces=frozenset(WorkspaceId(name) for name in workspaces),
+        methods=reader.take(
+            "methods",
+            parse_methods,
+            f"a list of {', '.join(sorted(HTTP_METHODS))}",
+            everyone,
+        ),
+        timeout_ms=reader.take(
+            "timeout_ms",
+            bounded_int(1, MAX_TIMEOUT_MS),
+            f"an integer from 1 to {MAX_TIMEOUT_MS}",
+            DEFAULT_TIMEOUT_MS,
+        ),
+        max_body_bytes=reader.take(
+            "max_body_bytes",
+            bounded_int(0, MAX_BODY_BYTES),
+            f"an integer from 0 to {MAX_BODY_BYTES}",
+            DEFAULT_MAX_BODY_BYTES,
+        ),
+    )
+
+
+@parses(Kind.UPSTREAM)
+def parse_upstream(name: str, reader: Reader) -> UpstreamSpec:
+    """Read an operator's wish for an upstream."""
+    drain = reader.require("drain", parse_bool, "true or false", False)
+    return UpstreamSpec(name=UpstreamId(name), drain=drain)
+
+
+def check_spec(
+    kind: Kind, name: str, document: object
+) -> Result[Spec, tuple[Finding, ...]]:
+    """Check one resource document.
+
+    Args:
+        kind: Kind of the resource.
+        name: Name of the resource.
+        document: Decoded specification.
+
+    Returns:
+        The specification, or all findings.
+
+    """
+    if not isinstance(document, Mapping):
+        return Failure((Finding("spec", "is not a mapping", "a mapping of fields"),))
+    reader = Reader(document=document, place="spec")
+    if parse_name(name) is None:
+        expected = "1 to 63 of a-z, 0-9, '.', '_', '-', starting with a letter or digit"
+        reader.findings.append(Finding("name", f"{name!r} is not valid", expected))
+    spec = _PARSERS[kind](name, reader)
+    reader.finish()
+    if reader.findings:
+        return Failure(tuple(reader.findings))
+    return Success(spec)
