Serve requests end to end through separate processes

Cause: no path stood. Nodes, operators' listener and binary, stand-ins for platform and upstreams, and the quickstart now run as separate processes. Ruled out: a new allotment that always starts empty; it refused the first requests of a fresh workspace (429 in the first quickstart run). A counter row now grants each token of a burst once in a full bucket, so the first requests are served and a change of holder still adds no burst. Holders announce themselves at once, and a node that has heard of none asks the hosts that rendezvous hashing names.

--- /dev/null
+++ b/packages/lavenderway-cli/lavenderway_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line of lavenderway."""
--- a/packages/lavenderway-core/lavenderway_core/allotments.py
+++ b/packages/lavenderway-core/lavenderway_core/allotments.py
@@ -1,10 +1,12 @@
 """Allotments of a workspace's rate, leased from the platform's table.
 
 The rows of one workspace sum to no more than its rate and burst, which each
-transaction checks against all of them. A holder counts its lease from before its
+transaction checks against all of them. A further row counts the burst that has been
+granted in full buckets, which happens once for each token of a workspace's burst: any
+other new holder begins with an empty bucket, so a change of holder cannot add a burst.
+A holder counts its lease from before its
 request was sent. Another host treats a row as free once it has seen it unchanged, on
-its own clock, for the lease and a margin. A new holder begins with an empty bucket, so
-a change of holder cannot add a burst.
+its own clock, for the lease and a margin.
 """
 
 from __future__ import annotations
@@ -29,6 +31,7 @@
 LOAN_LIFETIME_S = 2.0
 LOAN_MARGIN_S = 0.25
 ROW_PREFIX = "allotments/"
+GRANTED_ROW = "granted"
 
 
 class LeaseState(Enum):
--- a/packages/lavenderway-core/lavenderway_core/leasing.py
+++ b/packages/lavenderway-core/lavenderway_core/leasing.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
+from lavenderway_core import gossip
 from lavenderway_core.allotments import (
+    GRANTED_ROW,
     LEASE_MARGIN_RATIO,
     LEASE_S,
     LOAN_LIFETIME_S,
@@ -16,17 +18,15 @@
     AllotmentId,
     AllotmentRow,
     Share,
-    allotment_places,
     allowed_share,
     desired_share,
 )
 from lavenderway_core.effects import Log, Part, ReadRows, Transact
-from lavenderway_core.membership import HostState, rendezvous_score
+from lavenderway_core.placement import place_allotments
 from lavenderway_core.state import (
     NodeState,
     Observation,
     PendingLease,
-    WantedPlaces,
 )
 from lavenderway_core.table import (
     ABSENT,
@@ -40,7 +40,7 @@
 
 if TYPE_CHECKING:
     from lavenderway_core.events import RowsRead, TransactSettled
-    from lavenderway_core.ids import HostId, WorkspaceId
+    from lavenderway_core.ids import WorkspaceId
     from lavenderway_core.reducer import Effects
     from lavenderway_core.resources import WorkspaceSpec
 
@@ -48,6 +48,13 @@
 SHARE_TOLERANCE = 1e-6
 
 
+class _LeasePlan(NamedTuple):
+    """Rows to write, and the granted burst after that."""
+
+    pending: list[PendingLease]
+    granted: float
+
+
 def tick_leases(state: NodeState, now: float) -> Effects:
     """Read the rows of each workspace for which something is due."""
     effects: Effects = _drop_lapsed(state, now)
@@ -75,13 +82,16 @@
             state.leasing.busy.discard(name)
         return []
     observe_rows(state, event.rows, event.asked_at, now)
-    pending, conditions = _plan(state, workspace, event.rows, now)
-    if not pending:
+    plan = _plan(state, workspace, event.rows, now)
+    if not plan.pending:
         state.leasing.busy.discard(name)
         return []
-    state.leasing.pending[name] = pending
-    writes = tuple(Write(each.place.row, _encode(state, each)) for each in pending)
-    return [Transact(event.ticket, conditions, writes)]
+    state.leasing.pending[name] = plan.pending
+    writes = [Write(each.place.row, _encode(state, each)) for each in plan.pending]
+    counter = _granted_key(workspace)
+    writes.append(Write(counter, {GRANTED_ROW: plan.granted}))
+    conditions = _conditions(event.rows, writes)
+    return [Transact(event.ticket, conditions, tuple(writes))]
 
 
 def settle_leases(state: NodeState, event: TransactSettled, now: float) -> Effects:
@@ -99,8 +109,7 @@
         effects += _hold(state, each, event.asked_at + LEASE_S, now)
         version = event.versions.get(each.place.row, ABSENT)
         state.allotments[each.place].version = version
-    publish_holds(state)
-    return effects
+    return effects + publish_holds(state)
 
 
 def apply_rates(state: NodeState, now: float) -> Effects:
@@ -111,28 +120,27 @@
         if workspace is None:
             effects.append(_release(state, allotment))
             continue
-        wanted = desired_share(workspace, _wanted(state, workspace).total)
+        wanted = desired_share(workspace, place_allotments(state, workspace).total)
         lowered = Share(
             min(allotment.share.rate_per_s, wanted.rate_per_s),
             min(allotment.share.burst, wanted.burst),
         )
         allotment.resize(lowered, now)
         state.leasing.next_try[workspace.name] = now + state.random.random()
-    publish_holds(state)
-    return effects
+    return effects + publish_holds(state)
 
 
-def publish_holds(state: NodeState) -> bool:
-    """Tell the fleet which workspaces this host lends for; return if that changed."""
+def publish_holds(state: NodeState) -> Effects:
+    """Tell the fleet for which workspaces this host lends, if that has changed."""
     by_workspace: dict[WorkspaceId, list[Allotment]] = {}
     for allotment in state.allotments.values():
         by_workspace.setdefault(allotment.id.workspace, []).append(allotment)
     state.allotments_by_workspace = by_workspace
     holds = tuple(sorted(by_workspace))
     if holds == state.members.own.holds:
-        return False
+        return []
     state.members.update_own(holds=holds)
-    return True
+    return gossip.announce(state)
 
 
 def observe_rows(
@@ -154,9 +162,9 @@
         return False
     if now < state.leasing.next_try.get(workspace.name, 0.0):
         return False
-    wanted = _wanted(state, workspace)
-    share = desired_share(workspace, wanted.total)
-    held = [state.allotments.get(place) for place in wanted.places]
+    placement = place_allotments(state, workspace)
+    share = desired_share(workspace, placement.total)
+    held = [state.allotments.get(place) for place in placement.places_of(state.host)]
     return any(
         each is None
         or now - each.renewed_at > RENEW_INTERVAL_S
@@ -168,42 +176,13 @@
     )
 
 
-def _wanted(state: NodeState, workspace: WorkspaceSpec) -> WantedPlaces:
-    """Return the places for which this host has the highest rendezvous score."""
-    generation = state.members.generation
-    cached = state.leasing.wanted.get(workspace.name)
-    places = allotment_places(workspace, state.members.domains())
-    if cached and cached.generation == generation and cached.total == len(places):
-        return cached
-    near = _alive_hosts(state)
-    mine = tuple(
-        place
-        for place in places
-        if place.failure_domain == state.failure_domain
-        and _winner(place, near) == state.host
-    )
-    wanted = WantedPlaces(generation, len(places), mine)
-    state.leasing.wanted[workspace.name] = wanted
-    return wanted
-
-
-def _alive_hosts(state: NodeState) -> list[HostId]:
-    return [
-        record.host
-        for record in state.members.records.values()
-        if record.failure_domain == state.failure_domain
-        and record.state is HostState.ALIVE
-    ]
-
-
-def _winner(place: AllotmentId, hosts: list[HostId]) -> HostId | None:
-    return max(hosts, key=lambda host: rendezvous_score(place.row, host), default=None)
-
-
 def _plan(
     state: NodeState, workspace: WorkspaceSpec, rows: tuple[Row, ...], now: float
-) -> tuple[list[PendingLease], tuple[Condition, ...]]:
-    wanted = _wanted(state, workspace)
+) -> _LeasePlan:
+    placement = place_allotments(state, workspace)
+    present = {row.key for row in rows}
+    granted = _granted(workspace, rows)
+    ceiling = workspace.burst + SHARE_TOLERANCE
     busy = {row.key: row for row in rows if not _is_free(state, row, now)}
     parsed = {key: AllotmentRow.parse(row.value) for key, row in busy.items()}
     counted = {key: row for key, row in parsed.items() if row is not None}
@@ -211,24 +190,39 @@
     others = {key: row for key, row in counted.items() if key not in own}
     earlier = [place for key in sorted(own) if (place := AllotmentId.parse(key))]
     pending: list[PendingLease] = []
-    for place in dict.fromkeys([*wanted.places, *earlier]):
+    for place in dict.fromkeys([*placement.places_of(state.host), *earlier]):
         if place.row in others:
             continue
-        share = allowed_share(workspace, wanted.total, others)
+        share = allowed_share(workspace, placement.total, others)
         if share.rate_per_s <= 0 or share.burst <= 0:
             continue
         others[place.row] = _row(state, share)
         before = place.row in own and place not in state.allotments
-        pending.append(PendingLease(place, share, before))
-    return pending, _conditions(rows, pending)
+        full = place.row not in present and granted + share.burst <= ceiling
+        granted += share.burst if full else 0.0
+        pending.append(PendingLease(place, share, before, full))
+    held = sum(row.burst for row in others.values())
+    return _LeasePlan(pending, max(granted, held))
+
+
+def _granted_key(workspace: WorkspaceSpec) -> str:
+    return f"{ROW_PREFIX}{workspace.name}/{GRANTED_ROW}"
 
 
-def _conditions(
-    rows: tuple[Row, ...], pending: list[PendingLease]
-) -> tuple[Condition, ...]:
+def _granted(workspace: WorkspaceSpec, rows: tuple[Row, ...]) -> float:
+    """Return the burst that has been granted in full buckets so far."""
+    key = _granted_key(workspace)
+    row = next((row for row in rows if row.key == key), None)
+    if row is None:
+        return 0.0
+    value = row.value.get(GRANTED_ROW)
+    return float(value) if isinstance(value, int | float) else workspace.burst
+
+
+def _conditions(rows: tuple[Row, ...], writes: list[Write]) -> tuple[Condition, ...]:
     versions = {row.key: row.version for row in rows}
-    for each in pending:
-        versions.setdefault(each.place.row, ABSENT)
+    for each in writes:
+        versions.setdefault(each.key, ABSENT)
     return tuple(Condition(key, version) for key, version in versions.items())
 
 
@@ -272,6 +266,8 @@
         id_=pending.place, share=pending.share, lease_ends=lease_ends, now=starts
     )
     allotment.renewed_at = now
+    if pending.starts_full:
+        allotment.bucket.tokens = pending.share.burst
     state.allotments[pending.place] = allotment
     fields: dict[str, object] = {
         "allotment": pending.place.row,
@@ -288,9 +284,7 @@
         del state.allotments[allotment.id]
         fields: dict[str, object] = {"allotment": allotment.id.row}
         effects.append(Log(Part.RATE, "Lost an allotment; its lease ended.", fields))
-    if lapsed:
-        publish_holds(state)
-    return effects
+    return effects + publish_holds(state) if lapsed else effects
 
 
 def _release_settled(state: NodeState) -> Effects:
@@ -299,9 +293,7 @@
     for allotment in list(state.allotments.values()):
         if not allotment.loans:
             effects.append(_release(state, allotment))
-    if effects:
-        publish_holds(state)
-    return effects
+    return effects + publish_holds(state) if effects else effects
 
 
 def _release(state: NodeState, allotment: Allotment) -> Transact:
--- /dev/null
+++ b/packages/lavenderway-core/lavenderway_core/placement.py
@@ -0,0 +1,46 @@
+"""Which hosts of this failure domain should hold which allotments.
+
+Rendezvous hashing gives every node the same answer from the same membership, so a node
+can also find a lender whose announcement has not reached it yet.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lavenderway_core.allotments import AllotmentId, allotment_places
+from lavenderway_core.membership import HostState, rendezvous_score
+from lavenderway_core.state import Placement
+
+if TYPE_CHECKING:
+    from lavenderway_core.ids import HostId
+    from lavenderway_core.resources import WorkspaceSpec
+    from lavenderway_core.state import NodeState
+
+
+def place_allotments(state: NodeState, workspace: WorkspaceSpec) -> Placement:
+    """Return the holders of a workspace's allotments in this failure domain."""
+    generation = state.members.generation
+    places = allotment_places(workspace, state.members.domains())
+    cached = state.leasing.placements.get(workspace.name)
+    if cached and cached.generation == generation and cached.total == len(places):
+        return cached
+    hosts = _alive_hosts(state)
+    near = [each for each in places if each.failure_domain == state.failure_domain]
+    holders = {place: _choose_holder(place, hosts) for place in near}
+    placement = Placement(generation, len(places), holders)
+    state.leasing.placements[workspace.name] = placement
+    return placement
+
+
+def _alive_hosts(state: NodeState) -> list[HostId]:
+    return [
+        record.host
+        for record in state.members.records.values()
+        if record.failure_domain == state.failure_domain
+        and record.state is HostState.ALIVE
+    ]
+
+
+def _choose_holder(place: AllotmentId, hosts: list[HostId]) -> HostId | None:
+    return max(hosts, key=lambda host: rendezvous_score(place.row, host), default=None)
--- a/packages/lavenderway-core/lavenderway_core/state.py
+++ b/packages/lavenderway-core/lavenderway_core/state.py
@@ -11,6 +11,9 @@
 from lavenderway_core.allotments import Allotment, AllotmentId, Share
 from lavenderway_core.balancer import Balancer
 from lavenderway_core.directory import Directory
+from lavenderway_core.ids import (
+    HostId,
+)
 from lavenderway_core.lifecycle import NodeLifecycle
 from lavenderway_core.membership import HostRecord, HostState, Membership
 from lavenderway_core.retries import RetryBudget
@@ -23,7 +26,6 @@
     from lavenderway_core.ids import (
         ExchangeId,
         FailureDomainId,
-        HostId,
         Incarnation,
         JobId,
         Revision,
@@ -172,20 +174,32 @@
 
     Attributes:
         own_before: Whether the row was held by an earlier start of this host.
+        starts_full: Whether the bucket begins with its whole burst.
 
     """
 
     place: AllotmentId
     share: Share
     own_before: bool
+    starts_full: bool
 
 
-class WantedPlaces(NamedTuple):
-    """Allotments that this host should hold, for one view of the fleet."""
+class Placement(NamedTuple):
+    """Holders of a workspace's allotments in this failure domain.
+
+    Attributes:
+        generation: Generation of the membership from which it was worked out.
+        total: Number of allotments in all failure domains.
+
+    """
 
     generation: int
     total: int
-    places: tuple[AllotmentId, ...]
+    holders: dict[AllotmentId, HostId | None]
+
+    def places_of(self, host: HostId) -> list[AllotmentId]:
+        """Return the allotments that a host should hold."""
+        return [place for place, holder in self.holders.items() if holder == host]
 
 
 @dataclass(slots=True, kw_only=True)
@@ -196,7 +210,7 @@
     next_try: dict[WorkspaceId, float] = field(default_factory=dict)
     busy: set[WorkspaceId] = field(default_factory=set)
     pending: dict[WorkspaceId, list[PendingLease]] = field(default_factory=dict)
-    wanted: dict[WorkspaceId, WantedPlaces] = field(default_factory=dict)
+    placements: dict[WorkspaceId, Placement] = field(default_factory=dict)
 
 
 @dataclass(slots=True, kw_only=True)
--- a/packages/lavenderway-core/lavenderway_core/tokens.py
+++ b/packages/lavenderway-core/lavenderway_core/tokens.py
@@ -14,6 +14,7 @@
 from lavenderway_core.effects import SendControl
 from lavenderway_core.ids import ExchangeId, HostId, WorkspaceId
 from lavenderway_core.messages import LoanReport, TokenReply, TokenRequest
+from lavenderway_core.placement import place_allotments
 from lavenderway_core.reducer import Effects
 
 if TYPE_CHECKING:
@@ -210,9 +211,10 @@
 def _next_lender(
     state: NodeState, workspace: WorkspaceId, borrowing: Borrowing, now: float
 ) -> HostRecord | None:
+    known = state.members.lenders(workspace) or _expected_lenders(state, workspace)
     able = [
         record
-        for record in state.members.lenders(workspace)
+        for record in known
         if record.host != state.host and borrowing.refused.get(record.host, 0.0) <= now
     ]
     near = [each for each in able if each.failure_domain == state.failure_domain]
@@ -220,6 +222,16 @@
     return state.random.choice(pool) if pool else None
 
 
+def _expected_lenders(state: NodeState, workspace: WorkspaceId) -> list[HostRecord]:
+    """Return the hosts that should hold allotments, before any has said so."""
+    spec = state.directory.workspaces.get(workspace)
+    if spec is None:
+        return []
+    holders = place_allotments(state, spec).holders.values()
+    hosts = dict.fromkeys(host for host in holders if host is not None)
+    return [state.members.records[host] for host in hosts]
+
+
 def _serve_waiting(
     state: NodeState, workspace: WorkspaceId, borrowing: Borrowing, now: float
 ) -> TokenNews:
--- a/packages/lavenderway-core/lavenderway_core/upkeep.py
+++ b/packages/lavenderway-core/lavenderway_core/upkeep.py
@@ -30,12 +30,11 @@
     """Do what has become due."""
     effects = configuration.tick_config(state, now)
     effects += _drop_silent_upstreams(state, now)
-    holds = state.members.own.holds
     effects += leasing.tick_leases(state, now)
     effects += tokens.tick_loans(state, now)
     effects += gossip.tick_gossip(state, now)
     effects += entry.cut_withdrawn(state, now)
-    if _publish_upstreams(state) or holds != state.members.own.holds:
+    if _publish_upstreams(state):
         effects += gossip.announce(state)
     if state.lifecycle.draining and _is_idle(state) and state.lifecycle.stop():
         effects.append(Stopped())
--- /dev/null
+++ b/packages/lavenderway-dev/lavenderway_dev/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load generator, scenarios and benchmarks for developing lavenderway."""
--- /dev/null
+++ b/packages/lavenderway-dev/lavenderway_dev/operator.py
@@ -0,0 +1,49 @@
+"""Runs the operators' binary against a fleet under development."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from lavenderway_dev.fleet import Fleet
+
+TIMEOUT_S = 30.0
+
+
+def run_operator(fleet: Fleet, *arguments: str, host: str | None = None) -> str:
+    """Run `lavenderway` with JSON output; return what it prints.
+
+    Raises:
+        RuntimeError: It ended with an error.
+
+    """
+    done = call_operator(fleet, *arguments, host=host)
+    if done.returncode:
+        raise RuntimeError(f"lavenderway {' '.join(arguments)}: {done.stderr}")
+    return done.stdout
+
+
+def call_operator(
+    fleet: Fleet, *arguments: str, host: str | None = None
+) -> subprocess.CompletedProcess[str]:
+    """Run `lavenderway` with JSON output; return how it ended."""
+    chosen = fleet.hosts[host] if host else next(iter(fleet.hosts.values()))
+    binary = str(Path(sys.executable).parent / "lavenderway")
+    secret_file = chosen.config.parent / "operator.secret"
+    environment = {
+        **os.environ,
+        "LAVENDERWAY_URL": chosen.operators,
+        "LAVENDERWAY_SECRET_FILE": str(secret_file),
+    }
+    return subprocess.run(
+        [binary, *arguments, "--output", "json"],
+        env=environment,
+        capture_output=True,
+        text=True,
+        timeout=TIMEOUT_S,
+        check=False,
+    )
--- /dev/null
+++ b/packages/lavenderway-node/lavenderway_node/__init__.py
@@ -0,0 +1,1 @@
+"""The lavenderway node: sockets, timers and clients around the decisions."""
--- /dev/null
+++ b/packages/lavenderway-node/lavenderway_node/callers.py
@@ -0,0 +1,282 @@
+"""Listener for callers: HTTP/1.1 with kept connections."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import itertools
+from typing import TYPE_CHECKING, Any
+
+from aiohttp import web
+from aiohttp.http import HttpVersion11
+from aiohttp.http_exceptions import LineTooLong
+from lavenderway_core.events import CallerLeft, DeadlinePassed, RequestArrived
+from lavenderway_core.identification import Call, identify
+from lavenderway_core.ids import RootId
+from lavenderway_core.refusal import Reason, Refusal
+
+from lavenderway_node.clock import read_clock
+from lavenderway_node.exchange import AnswerStart, CallerExchange, CallInput
+from lavenderway_node.headers import decode_fields, filter_request
+from lavenderway_node.problems import REQUEST_ID_HEADER, build_problem
+from lavenderway_node.request_head import parse_head
+
+if TYPE_CHECKING:
+    from lavenderway_node.node import Node
+    from lavenderway_node.settings import Address
+
+KEEP_ALIVE_S = 75.0
+BODY_TIMEOUT_S = 30.0
+
+
+class _Connection(web.RequestHandler):
+    """A caller's connection, which refuses malformed requests in our form."""
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return the refusal of a request that could not be parsed."""
+        reason = Reason.BAD_REQUEST
+        if isinstance(exc, LineTooLong):
+            reason = Reason.HEAD_TOO_LARGE
+        refusal = Refusal(reason, detail="The request could not be parsed.")
+        response = _refusal_response(refusal, "none")
+        response.force_close()
+        return response
+
+
+class _Server(web.Server):
+    """Makes our kind of connection."""
+
+    def __init__(self, handler: Any, **options: Any) -> None:
+        super().__init__(handler, handler_cancellation=True)
+        self._options = options
+
+    def __call__(self) -> web.RequestHandler:
+        """Return the protocol of a new connection."""
+        return _Connection(
+            self, loop=asyncio.get_running_loop(), **self._options, **self._kwargs
+        )
+
+
+class _Answer(web.Response):
+    """A whole answer that carries the upstream's fields and no others."""
+
+    async def _prepare_headers(self) -> None:
+        own = {name.lower() for name in self.headers}
+        await super()._prepare_headers()
+        _drop_added(self, own)
+
+
+class _StreamedAnswer(web.StreamResponse):
+    """A streamed answer that carries the upstream's fields and no others."""
+
+    async def _prepare_headers(self) -> None:
+        own = {name.lower() for name in self.headers}
+        await super()._prepare_headers()
+        _drop_added(self, own)
+
+
+class CallerListener:
+    """Takes callers' requests and gives each its answer.
+
+    Args:
+        node: The node.
+
+    """
+
+    def __init__(self, *, node: Node) -> None:
+        self._node = node
+        self._server: asyncio.Server | None = None
+        self._handler: _Server | None = None
+        self._prefix = f"{node.state.host}.{node.state.incarnation:x}."
+        self._numbers = itertools.count(1)
+
+    async def open(self, address: Address) -> None:
+        """Listen for callers."""
+        limit = self._node.settings.max_head_bytes
+        self._handler = _Server(
+            self._handle,
+            access_log=None,
+            auto_decompress=False,
+            keepalive_timeout=KEEP_ALIVE_S,
+            max_line_size=limit,
+            max_field_size=limit,
+        )
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._handler, address.ip, address.port, backlog=1024, reuse_address=True
+        )
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket; open connections stay."""
+        if self._server is not None:
+            self._server.close()
+
+    async def close(self) -> None:
+        """Close all connections once they are idle."""
+        self.stop_accepting()
+        if self._handler is not None:
+            await self._handler.shutdown(1.0)
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        began = read_clock()
+        root = RootId(f"{self._prefix}{next(self._numbers):x}")
+        parsed = parse_head(request, root, self._node.settings.fleet_secrets)
+        if isinstance(parsed, Refusal):
+            return self._refuse(request, parsed, root)
+        state = self._node.state
+        call = identify(state.directory, parsed.head, state.host, began)
+        if isinstance(call, Refusal):
+            return self._refuse(request, call, root)
+        body = await _read_body(request, call.route.max_body_bytes)
+        if isinstance(body, Refusal):
+            return self._refuse(request, body, call.root)
+        fields = filter_request(request.raw_headers, parsed.secret)
+        given = CallInput(request.method, request.raw_path, fields, body)
+        return await self._exchange(request, call, given, began)
+
+    async def _exchange(
+        self, request: web.BaseRequest, call: Call, given: CallInput, began: float
+    ) -> web.StreamResponse:
+        node = self._node
+        number = node.take_exchange_number()
+        exchange = CallerExchange(call=call, given=given, began=began)
+        node.exchanges[number] = exchange
+        loop = asyncio.get_running_loop()
+        delay_s = call.deadline - read_clock()
+        timer = loop.call_later(delay_s, node.dispatch, DeadlinePassed(number))
+        try:
+            event = RequestArrived(number, call, _fingerprint(call, given))
+            node.dispatch(event)
+            start = await exchange.start
+            if isinstance(start, Refusal):
+                return self._refuse(request, start, call.root, call, began)
+            self._record(call, "answered", began)
+            return await self._answer(request, exchange, start)
+        except (asyncio.CancelledError, ConnectionError):
+            node.dispatch(CallerLeft(number))
+            raise
+        finally:
+            timer.cancel()
+            del node.exchanges[number]
+
+    async def _answer(
+        self, request: web.BaseRequest, exchange: CallerExchange, start: AnswerStart
+    ) -> web.StreamResponse:
+        fields = decode_fields(start.headers)
+        fields.append((REQUEST_ID_HEADER, exchange.call.root))
+        if not start.more:
+            whole = _Answer(
+                status=start.status,
+                reason=start.reason,
+                headers=fields,
+                body=start.body or None,
+            )
+            self._mark_closing(whole)
+            return whole
+        streamed = _StreamedAnswer(
+            status=start.status, reason=start.reason, headers=fields
+        )
+        self._mark_closing(streamed)
+        if streamed.content_length is None and request.version >= HttpVersion11:
+            streamed.enable_chunked_encoding()
+        await streamed.prepare(request)
+        if start.body:
+            await streamed.write(start.body)
+        return await self._stream(request, exchange, streamed)
+
+    async def _stream(
+        self,
+        request: web.BaseRequest,
+        exchange: CallerExchange,
+        streamed: web.StreamResponse,
+    ) -> web.StreamResponse:
+        more = True
+        while more:
+            part = await exchange.next_part()
+            if part.broken:
+                if request.transport is not None:
+                    request.transport.abort()
+                return streamed
+            if part.data:
+                await streamed.write(part.data)
+            more = part.more
+        await streamed.write_eof()
+        return streamed
+
+    def _refuse(
+        self,
+        request: web.BaseRequest,
+        refusal: Refusal,
+        root: str,
+        call: Call | None = None,
+        began: float = 0.0,
+    ) -> web.StreamResponse:
+        if call is None:
+            self._node.metrics.count(f"callers.refused.{refusal.reason.label}")
+        else:
+            self._record(call, refusal.reason.label, began)
+        response = _refusal_response(refusal, root)
+        self._mark_closing(response)
+        if not request.content.is_eof():
+            response.force_close()
+        return response
+
+    def _record(self, call: Call, outcome: str, began: float) -> None:
+        elapsed_s = read_clock() - began
+        self._node.metrics.record(call.workspace, call.importance, outcome, elapsed_s)
+
+    def _mark_closing(self, response: web.StreamResponse) -> None:
+        if self._node.state.lifecycle.draining:
+            response.force_close()
+
+
+def _refusal_response(refusal: Refusal, root: str) -> web.Response:
+    problem = build_problem(refusal, root)
+    return web.Response(
+        status=problem.status, headers=problem.headers, body=problem.body
+    )
+
+
+async def _read_body(request: web.BaseRequest, limit: int) -> bytes | Refusal:
+    if not request.body_exists:
+        return b""
+    length = request.content_length
+    if length is not None and length > limit:
+        return Refusal(Reason.TOO_LARGE, detail=f"The limit is {limit} bytes.")
+    if request.headers.get("Expect", "").lower() == "100-continue":
+        assert request.transport is not None
+        request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    parts: list[bytes] = []
+    size = 0
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            async for data in request.content.iter_any():
+                size += len(data)
+                if size > limit:
+                    detail = f"The limit is {limit} bytes."
+                    return Refusal(Reason.TOO_LARGE, detail=detail)
+                parts.append(data)
+    except TimeoutError:
+        return Refusal(Reason.BAD_REQUEST, detail="The body came too slowly.")
+    except web.RequestPayloadError:
+        return Refusal(Reason.BAD_REQUEST, detail="The body is malformed.")
+    return b"".join(parts)
+
+
+def _fingerprint(call: Call, given: CallInput) -> str:
+    if call.idempotency_key is None:
+        return ""
+    content = b"\n".join([given.method.encode(), given.target.encode(), given.body])
+    return hashlib.sha256(content).hexdigest()
+
+
+def _drop_added(response: web.StreamResponse, own: set[str]) -> None:
+    for name in ("content-type", "server", "date"):
+        if name not in own:
+            response.headers.popall(name, None)
--- /dev/null
+++ b/packages/lavenderway-node/lavenderway_node/metrics.py
@@ -0,0 +1,103 @@
+"""Counters to statsd, and latency histograms by workspace and importance."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING, NamedTuple
+
+import statsd
+from hdrh.histogram import HdrHistogram
+
+if TYPE_CHECKING:
+    from lavenderway_core.importance import Importance
+
+    from lavenderway_node.settings import Address
+
+LOWEST_US = 1
+HIGHEST_US = 600_000_000
+SIGNIFICANT_DIGITS = 2
+QUANTILES = (50.0, 90.0, 99.0, 99.9)
+STATSD_PREFIX = "lavenderway"
+
+
+class HistogramKey(NamedTuple):
+    """What a histogram is for."""
+
+    workspace: str
+    importance: str
+    outcome: str
+
+
+class HistogramSummary(NamedTuple):
+    """Summary of one histogram; quantiles are in milliseconds."""
+
+    workspace: str
+    importance: str
+    outcome: str
+    total: int
+    quantiles_ms: dict[str, float]
+
+
+class Metrics:
+    """Metrics of a node.
+
+    Args:
+        address: Collector for statsd; None keeps counters local.
+
+    """
+
+    def __init__(self, *, address: Address | None) -> None:
+        self.counters: Counter[str] = Counter()
+        self._histograms: dict[HistogramKey, HdrHistogram] = {}
+        self._pending: Counter[str] = Counter()
+        self._client = None
+        if address is not None:
+            self._client = statsd.StatsClient(
+                host=address.ip, port=address.port, prefix=STATSD_PREFIX
+            )
+
+    def count(self, metric: str, amount: int = 1) -> None:
+        """Raise a counter."""
+        self.counters[metric] += amount
+        if self._client is not None:
+            self._pending[metric] += amount
+
+    def record(
+        self,
+        workspace: str | None,
+        importance: Importance,
+        outcome: str,
+        elapsed_s: float,
+    ) -> None:
+        """Add the duration of one request to its histogram."""
+        key = HistogramKey(workspace or "-", importance.label, outcome)
+        histogram = self._histograms.get(key)
+        if histogram is None:
+            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+            self._histograms[key] = histogram
+        histogram.record_value(max(LOWEST_US, int(elapsed_s * 1e6)))
+
+    def flush(self) -> None:
+        """Send the counters that have changed."""
+        if self._client is None or not self._pending:
+            return
+        with self._client.pipeline() as pipeline:
+            for metric, amount in self._pending.items():
+                pipeline.incr(metric, amount)
+        self._pending.clear()
+
+    def summarise(self) -> list[HistogramSummary]:
+        """Return a summary of every histogram."""
+        return [
+            HistogramSummary(
+                key.workspace,
+                key.importance,
+                key.outcome,
+                histogram.get_total_count(),
+                {
+                    f"p{quantile:g}": histogram.get_value_at_percentile(quantile) / 1000
+                    for quantile in QUANTILES
+                },
+            )
+            for key, histogram in sorted(self._histograms.items())
+        ]
