Join split groups, and keep a node alive through a faulty event

A second cause showed there: nodes that start together could form two groups for 10 s, because a seed was asked only while a node had no peer. Change: the field is renamed, a failed event is counted and logged with its traceback, seeds are asked each round while a node joins, and gossip replies name the differing buckets so that news flows both ways.

--- a/packages/lavenderway-core/lavenderway_core/control.py
+++ b/packages/lavenderway-core/lavenderway_core/control.py
@@ -23,6 +23,7 @@
     ConfigPush,
     GossipReply,
     GossipRequest,
+    RecordPush,
     StatusReply,
     StatusRequest,
     TokenReply,
@@ -54,6 +55,8 @@
             return gossip.answer_gossip(state, peer, message, now)
         case GossipReply():
             return _take_gossip_reply(state, event, message, now)
+        case RecordPush():
+            return gossip.take_records(state, message, now)
         case ConfigPush():
             return configuration.take_push(state, message, now)
         case TokenRequest():
--- a/packages/lavenderway-core/lavenderway_core/gossip.py
+++ b/packages/lavenderway-core/lavenderway_core/gossip.py
@@ -8,7 +8,7 @@
 from lavenderway_core.effects import Log, Part, SendControl
 from lavenderway_core.ids import HostId
 from lavenderway_core.membership import HostRecord, HostState
-from lavenderway_core.messages import ConfigPush, GossipReply, GossipRequest
+from lavenderway_core.messages import ConfigPush, GossipReply, GossipRequest, RecordPush
 
 if TYPE_CHECKING:
     from lavenderway_core.directory import Directory
@@ -22,8 +22,10 @@
 STRIKES_TO_SUSPECT = 2
 SUSPECT_S = 5.0
 ENDED_RETENTION_S = 3600.0
+JOIN_ROUNDS = 30
 REVIVAL_EVERY_ROUNDS = 10
 UNKNOWN_HOST = HostId("")
+NO_VERSION = (0, 0, 0)
 
 
 def tick_gossip(state: NodeState, now: float) -> Effects:
@@ -37,9 +39,12 @@
     peers = state.members.peers()
     if peers:
         effects += _ask(state, _choose_peer(state, peers))
-    if not peers or state.gossip.rounds % REVIVAL_EVERY_ROUNDS == 0:
-        effects += _ask_outsider(state)
-    return effects
+    joining = state.gossip.rounds <= JOIN_ROUNDS
+    revives = state.gossip.rounds % REVIVAL_EVERY_ROUNDS == 0
+    pool = _unknown_seeds(state) if joining or revives else []
+    if revives:
+        pool += _dead_hosts(state)
+    return effects + _ask_outsider(state, pool)
 
 
 def announce(state: NodeState) -> Effects:
@@ -71,6 +76,7 @@
         confirmed_age_s=_confirmed_age(directory, now),
         items=tuple(items),
         records=(*records, *_take_rumours(state)),
+        buckets=tuple(buckets),
     )
     record = state.members.records.get(peer)
     if record is not None:
@@ -81,9 +87,25 @@
 def take_gossip(
     state: NodeState, peer: HostId, reply: GossipReply, now: float
 ) -> Effects:
-    """Take in the records of a reply; the peer is alive."""
+    """Take in the records of a reply, and send back those that the peer lacks."""
     state.gossip.strikes.pop(peer, None)
-    return _merge(state, reply.records, now)
+    effects = _merge(state, reply.records, now)
+    told = {record.host: record.version for record in reply.records}
+    lacked = [
+        record
+        for record in state.members.in_buckets(reply.buckets)
+        if record.version > told.get(record.host, NO_VERSION)
+    ]
+    target = state.members.records.get(peer)
+    if lacked and target is not None:
+        push = RecordPush(tuple(lacked[:MAX_RECORDS]))
+        effects.append(SendControl(peer, target.address, push))
+    return effects
+
+
+def take_records(state: NodeState, push: RecordPush, now: float) -> Effects:
+    """Take in records that a peer found lacking here."""
+    return _merge(state, push.records, now)
 
 
 def push_config(state: NodeState, message: ConfigPush) -> Effects:
@@ -143,24 +165,28 @@
     return [SendControl(peer.host, peer.address, _request(state))]
 
 
-def _ask_outsider(state: NodeState) -> Effects:
-    """Ask a host that was declared dead, or a seed, so that a cut heals."""
-    ended = [
+def _unknown_seeds(state: NodeState) -> list[tuple[HostId, str]]:
+    known = {record.address for record in state.members.records.values()}
+    unknown = [seed for seed in state.gossip.seeds if seed not in known]
+    return [(UNKNOWN_HOST, address) for address in unknown]
+
+
+def _dead_hosts(state: NodeState) -> list[tuple[HostId, str]]:
+    return [
         (record.host, record.address)
         for record in state.members.records.values()
         if record.state is HostState.DEAD and record.host != state.host
     ]
-    known = {record.address for record in state.members.records.values()}
-    seeds = [
-        (UNKNOWN_HOST, address)
-        for address in state.gossip.seeds
-        if address not in known
-    ]
-    pool = ended + seeds
+
+
+def _ask_outsider(state: NodeState, pool: list[tuple[HostId, str]]) -> Effects:
+    """Ask a seed or a host that was declared dead, so that groups join again."""
     if not pool:
         return []
     host, address = state.random.choice(pool)
-    return [SendControl(host, address, _request(state))]
+    request = _request(state)
+    introduced = (*request.records, state.members.own)
+    return [SendControl(host, address, request._replace(records=introduced))]
 
 
 def _request(state: NodeState) -> GossipRequest:
--- a/packages/lavenderway-core/lavenderway_core/messages.py
+++ b/packages/lavenderway-core/lavenderway_core/messages.py
@@ -35,7 +35,8 @@
         revision: Revision that is complete with `items`.
         confirmed_age_s: Age of the sender's confirmation by the store; None without.
         items: Changed resources.
-        records: Records in which the two sides differ.
+        records: Records of the buckets in which the two sides differ.
+        buckets: Those buckets.
 
     """
 
@@ -45,6 +46,13 @@
     confirmed_age_s: float | None
     items: tuple[Item, ...]
     records: tuple[HostRecord, ...]
+    buckets: tuple[int, ...]
+
+
+class RecordPush(NamedTuple):
+    """Brings records that a peer has shown to lack."""
+
+    records: tuple[HostRecord, ...]
 
 
 class ConfigPush(NamedTuple):
@@ -133,6 +141,7 @@
     GossipRequest
     | GossipReply
     | ConfigPush
+    | RecordPush
     | TokenRequest
     | TokenReply
     | AppliedReport
--- a/packages/lavenderway-node/lavenderway_node/codec.py
+++ b/packages/lavenderway-node/lavenderway_node/codec.py
@@ -47,6 +47,7 @@
     messages.GossipRequest,
     messages.GossipReply,
     messages.ConfigPush,
+    messages.RecordPush,
     messages.TokenRequest,
     messages.TokenReply,
     messages.AppliedReport,
--- a/packages/lavenderway-node/lavenderway_node/logs.py
+++ b/packages/lavenderway-node/lavenderway_node/logs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+import traceback
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -45,7 +46,7 @@
         eliot.log_message(
             message_type=f"lavenderway:{part.value}",
             text=f"{part.value}: {message}",
-            host=self._host,
+            node=self._host,
             **fields,
         )
 
@@ -67,6 +68,16 @@
         return True
 
 
+def write_failure(event: str) -> None:
+    """Write the exception that is being handled, with its traceback."""
+    eliot.log_message(
+        message_type="lavenderway:node",
+        text="node: Failed to handle an event.",
+        event=event,
+        traceback=traceback.format_exc(),
+    )
+
+
 def open_log() -> None:
     """Send log lines to standard error."""
     eliot.to_file(sys.stderr)
--- a/packages/lavenderway-node/lavenderway_node/node.py
+++ b/packages/lavenderway-node/lavenderway_node/node.py
@@ -17,7 +17,7 @@
 from lavenderway_node.executors import EXECUTORS
 from lavenderway_node.link import Identity
 from lavenderway_node.links import Links
-from lavenderway_node.logs import LogWriter
+from lavenderway_node.logs import LogWriter, write_failure
 from lavenderway_node.metrics import Metrics
 from lavenderway_node.platform import TableClient
 from lavenderway_node.registry import keep_registered
@@ -94,8 +94,12 @@
     def dispatch(self, event: Event) -> None:
         """Reduce an event and carry out its effects."""
         before = self.state.directory.revision
-        for effect in reduce(self.state, event, read_clock()):
-            self.execute(effect)
+        try:
+            for effect in reduce(self.state, event, read_clock()):
+                self.execute(effect)
+        except Exception:  # one faulty event must not stop a node that serves
+            self.metrics.count("node.internal_errors")
+            write_failure(type(event).__name__)
         if self.state.directory.revision != before:
             self.notify_observers()
 
