--- /dev/null
+++ b/packages/lavenderway-dev/lavenderway_dev/bench.py
@@ -0,0 +1,27 @@
+"""Runs the benchmarks that are named, or all of them."""
+
+from __future__ import annotations
+
+import sys
+
+from lavenderway_dev import bench_hops
+from lavenderway_dev.bench_registry import BENCHMARKS
+
+MODULES = (bench_hops,)
+
+
+def main() -> int:
+    """Run benchmarks; return the exit code."""
+    names = sys.argv[1:] or list(BENCHMARKS)
+    unknown = [name for name in names if name not in BENCHMARKS]
+    if unknown:
+        print(f"unknown: {', '.join(unknown)}; there are {', '.join(BENCHMARKS)}")
+        return 2
+    for name in names:
+        print(f"== {name}")
+        BENCHMARKS[name]()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/lavenderway-dev/lavenderway_dev/bench_hops.py
@@ -0,0 +1,154 @@
+"""Cost of a hop: latency added by one node and by entry node plus host node."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from lavenderway_dev.bench_registry import benchmark, quantile
+from lavenderway_dev.fleet import Fleet, HostPlan, UpstreamPlan
+from lavenderway_dev.raw_client import RawClient, build_request
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+RATE_PER_S = 80
+DURATION_S = 12.0
+WARM_UP_S = 3.0
+SATURATION_S = 4.0
+SATURATION_CONNECTIONS = 16
+IDLE_S = 5.0
+TIMEOUT_S = 5.0
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+def start_fleet() -> Fleet:
+    """Return a fleet of two hosts in one failure domain, one upstream."""
+    echo = UpstreamPlan("echo-1", "echo", slots=1000, service_ms=0.0)
+    return Fleet(plans=[HostPlan("h-1", "a", (echo,)), HostPlan("h-2", "a", ())])
+
+
+def prepare(fleet: Fleet) -> str:
+    """Create resources; return the key's secret."""
+    fleet.wait_serving({"echo"})
+    rate = {"rate": 1e6, "burst": 1e6}
+    fleet.operate("PUT", "/v1/workspaces/bench", {"spec": rate})
+    made = fleet.operate("PUT", "/v1/keys/bench", {"spec": {"workspace": "bench"}})
+    route = {"path_prefix": "/", "service": "echo", "idempotent": True}
+    last = fleet.operate("PUT", "/v1/routes/all", {"spec": route}).json()
+    fleet.wait_in_force(last["revision"])
+    fleet.wait_allotments("bench")
+    return str(made.json()["secret"])
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the processor time that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+def resident_mb(pid: int) -> float:
+    """Return the resident memory of a process in MB."""
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+async def measure_paced(
+    paths: dict[str, tuple[RawClient, bytes]], rate_per_s: float, duration_s: float
+) -> dict[str, list[float]]:
+    """Send requests at a steady rate to each path in turn; return latencies in ms."""
+    latencies: dict[str, list[float]] = {name: [] for name in paths}
+    tasks: set[asyncio.Task[None]] = set()
+    began = time.perf_counter()
+
+    async def send(name: str, keep: bool) -> None:
+        client, data = paths[name]
+        at = time.perf_counter()
+        answer = await client.request(data, TIMEOUT_S)
+        if answer.status != 200:
+            raise RuntimeError(f"{name}: status {answer.status}")
+        if keep:
+            latencies[name].append((time.perf_counter() - at) * 1000)
+
+    number = 0
+    while (elapsed := time.perf_counter() - began) < duration_s:
+        for offset, name in enumerate(paths):
+            due = (number + offset / len(paths)) / rate_per_s
+            await asyncio.sleep(max(0.0, due - (time.perf_counter() - began)))
+            task = asyncio.create_task(send(name, elapsed > WARM_UP_S))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+        number += 1
+    await asyncio.gather(*tasks)
+    return latencies
+
+
+async def measure_saturated(client: RawClient, data: bytes) -> float:
+    """Return the requests per second that kept connections get through."""
+    done = 0
+    ends = time.perf_counter() + SATURATION_S
+
+    async def loop() -> None:
+        nonlocal done
+        while time.perf_counter() < ends:
+            answer = await client.request(data, TIMEOUT_S)
+            done += answer.status == 200
+
+    await asyncio.gather(*(loop() for _ in range(SATURATION_CONNECTIONS)))
+    return done / SATURATION_S
+
+
+@benchmark("hops")
+def bench_hops() -> None:
+    """Print the latency added by nodes, as ratios to the direct path."""
+    with start_fleet() as fleet:
+        secret = prepare(fleet)
+        asyncio.run(_bench(fleet, secret))
+
+
+async def _bench(fleet: Fleet, secret: str) -> None:
+    near, far = fleet.hosts["h-1"], fleet.hosts["h-2"]
+    data = build_request("/echo", fields={"Authorization": f"Bearer {secret}"})
+    bare = build_request("/echo", fields={"Lavenderway-Request-Id": "direct"})
+    paths = {
+        "direct": (RawClient(port=near.upstream_ports["echo-1"]), bare),
+        "one node": (RawClient(port=near.ports.callers), data),
+        "entry + host": (RawClient(port=far.ports.callers), data),
+    }
+    _print_idle(fleet)
+    latencies = await measure_paced(paths, RATE_PER_S, DURATION_S)
+    direct = latencies["direct"]
+    base50, base99 = quantile(direct, 0.5), quantile(direct, 0.99)
+    print(f"at {RATE_PER_S}/s    p50 ms  p99 ms  added p50  added p99  ratio p50")
+    for name, values in latencies.items():
+        p50, p99 = quantile(values, 0.5), quantile(values, 0.99)
+        added = f"{p50 - base50:9.2f}  {p99 - base99:9.2f}  {p50 / base50:9.2f}"
+        print(f"{name:<13} {p50:7.2f} {p99:7.2f}  {added}")
+    for name, (client, request) in paths.items():
+        await _print_saturated(fleet, name, lambda: measure_saturated(client, request))  # noqa: B023
+        client.close()
+
+
+async def _print_saturated(
+    fleet: Fleet, name: str, measure: Callable[[], object]
+) -> None:
+    pids = {n: host.node.pid for n, host in fleet.hosts.items() if host.node}
+    before = {host: cpu_seconds(pid) for host, pid in pids.items()}
+    rate = await measure()  # type: ignore[misc]
+    used = {host: cpu_seconds(pid) - before[host] for host, pid in pids.items()}
+    done = rate * SATURATION_S
+    costs = ", ".join(f"{h} {cpu / done * 1e6:.0f}" for h, cpu in used.items())
+    print(f"{name:<13} saturated at {rate:.0f}/s; node processor µs/request: {costs}")
+
+
+def _print_idle(fleet: Fleet) -> None:
+    pids = [host.node.pid for host in fleet.hosts.values() if host.node]
+    before = [cpu_seconds(pid) for pid in pids]
+    time.sleep(IDLE_S)
+    used = [cpu_seconds(p) - b for p, b in zip(pids, before, strict=True)]
+    share = max(used) / IDLE_S * 100
+    memory = max(resident_mb(pid) for pid in pids)
+    print(f"idle node: {memory:.0f} MB resident, {share:.2f}% of a core")
--- /dev/null
+++ b/packages/lavenderway-dev/lavenderway_dev/raw_client.py
@@ -0,0 +1,144 @@
+"""Small HTTP/1.1 client for load: prepared requests over kept connections.
+
+It reads answers with a `Content-Length` only, and costs little enough that the load
+generator is not what is measured.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import NamedTuple
+
+HEAD_END = b"\r\n\r\n"
+
+
+class RawAnswer(NamedTuple):
+    """Answer to a prepared request; `status` 0 when the connection broke."""
+
+    status: int
+    head: bytes
+
+
+class _Connection(asyncio.Protocol):
+    """One kept connection."""
+
+    def __init__(self) -> None:
+        self.closed = False
+        self._buffer = b""
+        self._waiter: asyncio.Future[RawAnswer] | None = None
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport; called by asyncio."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def send(self, data: bytes) -> asyncio.Future[RawAnswer]:
+        """Send a request; return the future of its answer."""
+        assert self._transport is not None
+        self._waiter = asyncio.get_running_loop().create_future()
+        self._transport.write(data)
+        return self._waiter
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.closed = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        """Take in bytes; called by asyncio."""
+        self._buffer += data
+        end = self._buffer.find(HEAD_END)
+        if end < 0:
+            return
+        head = self._buffer[:end]
+        length = _content_length(head)
+        if len(self._buffer) < end + len(HEAD_END) + length:
+            return
+        self._buffer = b""
+        if b"\r\nconnection: close" in head.lower():
+            self.closed = True
+        self._finish(RawAnswer(int(head[9:12]), head))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Report a broken connection; called by asyncio."""
+        self.closed = True
+        self._finish(RawAnswer(0, b""))
+
+    def _finish(self, answer: RawAnswer) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(answer)
+
+
+class RawClient:
+    """Client of one address.
+
+    Args:
+        port: Port on loopback.
+
+    """
+
+    def __init__(self, *, port: int) -> None:
+        self._port = port
+        self._idle: list[_Connection] = []
+
+    async def request(self, data: bytes, timeout_s: float) -> RawAnswer:
+        """Send a prepared request; return its answer."""
+        connection = await self._take()
+        if connection is None:
+            return RawAnswer(0, b"")
+        try:
+            answer = await asyncio.wait_for(connection.send(data), timeout_s)
+        except (TimeoutError, asyncio.CancelledError) as error:
+            connection.close()
+            if isinstance(error, asyncio.CancelledError):
+                raise
+            return RawAnswer(0, b"")
+        if not connection.closed:
+            self._idle.append(connection)
+        return answer
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for connection in self._idle:
+            connection.close()
+
+    async def _take(self) -> _Connection | None:
+        while self._idle:
+            connection = self._idle.pop()
+            if not connection.closed:
+                return connection
+        loop = asyncio.get_running_loop()
+        try:
+            _, connection = await loop.create_connection(
+                _Connection, "127.0.0.1", self._port
+            )
+        except OSError:
+            return None
+        return connection
+
+
+def build_request(
+    path: str, *, fields: dict[str, str] | None = None, method: str = "GET"
+) -> bytes:
+    """Return a prepared request without a body."""
+    lines = [f"{method} {path} HTTP/1.1", "Host: bench"]
+    lines += [f"{name}: {value}" for name, value in (fields or {}).items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def read_field(head: bytes, name: bytes) -> bytes:
+    """Return the value of a header field of an answer, empty without one."""
+    lowered = head.lower()
+    at = lowered.find(b"\r\n" + name.lower() + b":")
+    if at < 0:
+        return b""
+    start = at + len(name) + 3
+    end = head.find(b"\r\n", start)
+    return head[start : end if end >= 0 else None].strip()
+
+
+def _content_length(head: bytes) -> int:
+    value = read_field(head, b"Content-Length")
+    return int(value) if value.isdigit() else 0
--- /dev/null
+++ b/tests/end_to_end/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of end to end."""
