--- a/packages/lavenderway-core/lavenderway_core/borrowing.py
+++ b/packages/lavenderway-core/lavenderway_core/borrowing.py
@@ -15,6 +15,7 @@
 PREFETCH_S = 0.5  # borrow ahead for this much demand
 LOW_WATER_RATIO = 0.5
 REPORT_BEFORE_S = 0.5
+REPORT_INTERVAL_S = 0.25  # spent tokens take up the lender's burst until reported
 
 
 class BorrowedLoan:
@@ -55,6 +56,7 @@
         self.demand_per_s = 0.0
         self._arrivals = 0
         self._measured_at = now
+        self._reported_at = now
 
     def record_arrival(self, now: float) -> None:
         """Count one request for the demand."""
@@ -114,8 +116,12 @@
 
     def lenders_due(self, now: float) -> set[HostId]:
         """Return the lenders to whom an account is due now."""
-        return {
-            loan.lender
-            for loan in self.loans
-            if loan.expires - now < REPORT_BEFORE_S and (loan.tokens or loan.unreported)
-        }
+        settles = now - self._reported_at >= REPORT_INTERVAL_S
+        if settles:
+            self._reported_at = now
+        due = set()
+        for loan in self.loans:
+            ending = loan.expires - now < REPORT_BEFORE_S
+            if (settles and loan.unreported) or (ending and loan.tokens):
+                due.add(loan.lender)
+        return due
--- a/packages/lavenderway-core/lavenderway_core/control.py
+++ b/packages/lavenderway-core/lavenderway_core/control.py
@@ -27,6 +27,7 @@
     StatusReply,
     StatusRequest,
     TokenReply,
+    TokenReport,
     TokenRequest,
 )
 from lavenderway_core.reducer import Effects, handles
@@ -61,6 +62,9 @@
             return configuration.take_push(state, message, now)
         case TokenRequest():
             return tokens.lend_tokens(state, peer, message, now)
+        case TokenReport():
+            tokens.take_report(state, peer, message, now)
+            return []
         case TokenReply():
             news = tokens.take_reply(state, peer, message, event.asked_at, now)
             return entry.apply_token_news(state, news, now)
--- a/packages/lavenderway-core/lavenderway_core/membership.py
+++ b/packages/lavenderway-core/lavenderway_core/membership.py
@@ -99,6 +99,7 @@
         self._buckets = [0] * BUCKET_COUNT
         self._candidates: dict[ServiceId, list[Candidate]] = {}
         self._lenders: dict[WorkspaceId, list[HostRecord]] = {}
+        self._domains: set[FailureDomainId] | None = None
         self._store(own)
 
     @property
@@ -176,7 +177,10 @@
 
     def domains(self) -> set[FailureDomainId]:
         """Return the failure domains that have hosts taking part."""
-        return {r.failure_domain for r in self.records.values() if r.reachable}
+        if self._domains is None:
+            records = self.records.values()
+            self._domains = {r.failure_domain for r in records if r.reachable}
+        return self._domains
 
     def in_buckets(self, buckets: Iterable[int]) -> list[HostRecord]:
         """Return the records that belong to `buckets`."""
@@ -219,6 +223,7 @@
         self.generation += 1
         self._candidates.clear()
         self._lenders.clear()
+        self._domains = None
 
     def _find_candidates(self, service: ServiceId) -> Iterator[Candidate]:
         for record in self.records.values():
--- a/packages/lavenderway-core/lavenderway_core/messages.py
+++ b/packages/lavenderway-core/lavenderway_core/messages.py
@@ -87,6 +87,13 @@
     reports: tuple[LoanReport, ...]
 
 
+class TokenReport(NamedTuple):
+    """Accounts for loans without asking for tokens; needs no reply."""
+
+    workspace: WorkspaceId
+    reports: tuple[LoanReport, ...]
+
+
 class TokenReply(NamedTuple):
     """Lends tokens.
 
@@ -144,6 +151,7 @@
     | RecordPush
     | TokenRequest
     | TokenReply
+    | TokenReport
     | AppliedReport
     | StatusRequest
     | StatusReply
--- a/packages/lavenderway-core/lavenderway_core/tokens.py
+++ b/packages/lavenderway-core/lavenderway_core/tokens.py
@@ -13,7 +13,7 @@
 from lavenderway_core.borrowing import BorrowedLoan, Borrowing
 from lavenderway_core.effects import SendControl
 from lavenderway_core.ids import ExchangeId, HostId, WorkspaceId
-from lavenderway_core.messages import LoanReport, TokenReply, TokenRequest
+from lavenderway_core.messages import LoanReport, TokenReply, TokenReport, TokenRequest
 from lavenderway_core.placement import place_allotments
 from lavenderway_core.reducer import Effects
 
@@ -92,8 +92,7 @@
 ) -> Effects:
     """Answer a peer's request for tokens."""
     own = _own_allotments(state, request.workspace)
-    for report in request.reports:
-        _settle(own, peer, report, now)
+    _settle(own, peer, request.reports, now)
     number = state.next_loan
     state.next_loan += 1
     amount = 0.0
@@ -106,6 +105,14 @@
     return _send(state, peer, reply)
 
 
+def take_report(
+    state: NodeState, peer: HostId, report: TokenReport, now: float
+) -> None:
+    """Account for loans that a peer has spent or gives back."""
+    own = _own_allotments(state, report.workspace)
+    _settle(own, peer, report.reports, now)
+
+
 def take_reply(
     state: NodeState, peer: HostId, reply: TokenReply, asked_at: float, now: float
 ) -> TokenNews:
@@ -146,8 +153,7 @@
     for workspace, borrowing in state.borrowings.items():
         for lender in borrowing.lenders_due(now):
             reports = borrowing.collect_reports(lender, now)
-            request = TokenRequest(state.take_control_number(), workspace, 0.0, reports)
-            effects += _send(state, lender, request)
+            effects += _send(state, lender, TokenReport(workspace, reports))
         borrowing.drop_expired(now)
     for allotment in state.allotments.values():
         allotment.settle_expired(now)
@@ -172,9 +178,12 @@
     return borrowing
 
 
-def _settle(own: list[Allotment], peer: HostId, report: LoanReport, now: float) -> None:
-    for allotment in own:
-        allotment.settle(report.loan, peer, report.spent, report.returned, now)
+def _settle(
+    own: list[Allotment], peer: HostId, reports: tuple[LoanReport, ...], now: float
+) -> None:
+    for report in reports:
+        for allotment in own:
+            allotment.settle(report.loan, peer, report.spent, report.returned, now)
 
 
 def _lend(
@@ -260,7 +269,7 @@
 
 
 def _send(
-    state: NodeState, peer: HostId, message: TokenRequest | TokenReply
+    state: NodeState, peer: HostId, message: TokenRequest | TokenReply | TokenReport
 ) -> Effects:
     record = state.members.records.get(peer)
     return [] if record is None else [SendControl(peer, record.address, message)]
--- a/packages/lavenderway-dev/lavenderway_dev/bench_rates.py
+++ b/packages/lavenderway-dev/lavenderway_dev/bench_rates.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from random import Random
 from typing import NamedTuple
 
@@ -23,7 +24,7 @@
 MOVE_S = 5.0
 TABLE_WRITES_PER_S = 400.0
 WARM_UP_S = 8.0
-TICK_S = 0.5
+TICK_S = 0.25
 
 
 class Arrival(NamedTuple):
@@ -81,9 +82,7 @@
     for arrival in arrivals:
         fleet.at(
             WARM_UP_S + arrival.at,
-            lambda host=names[arrival.host]: fleet.request(  # type: ignore[misc]
-                host, "/orders", secret=secret
-            ),
+            partial(_send, fleet, names[arrival.host], secret),
         )
     fleet.run(WARM_UP_S + DURATION_S + 2.0)
     operations = fleet.table_reads + fleet.table_writes - operations
@@ -91,6 +90,10 @@
     return Result(len(times), measure_overshoot(times), operations / DURATION_S)
 
 
+def _send(fleet: ScriptedFleet, host: str, secret: str) -> None:
+    fleet.request(host, "/orders", secret=secret)
+
+
 def build_fleet(hosts: int, *, upstream: bool = True) -> ScriptedFleet:
     """Return a fleet whose hosts know each other."""
     fleet = ScriptedFleet(seed=hosts, tick_s=TICK_S)
--- a/packages/lavenderway-dev/lavenderway_dev/fleet.py
+++ b/packages/lavenderway-dev/lavenderway_dev/fleet.py
@@ -130,6 +130,11 @@
         """Stop everything."""
         self.stop()
 
+    @property
+    def python(self) -> str:
+        """Interpreter of the processes."""
+        return sys.executable
+
     @property
     def platform(self) -> str:
         """Base URL of the stand-in platform."""
--- a/packages/lavenderway-node/lavenderway_node/codec.py
+++ b/packages/lavenderway-node/lavenderway_node/codec.py
@@ -50,6 +50,7 @@
     messages.RecordPush,
     messages.TokenRequest,
     messages.TokenReply,
+    messages.TokenReport,
     messages.AppliedReport,
     messages.StatusRequest,
     messages.StatusReply,
