Shed by a level that follows whole answers, and cut limits by Little's law

Change: each upstream has a margin importance and cutoffs per workspace by the root's hash, lowered by the part of requests that failed after admission here or further down, and told to entry nodes on replies. Limits are cut by Little's law; a cut that does not help shows a slower service.

--- a/packages/lavenderway-core/lavenderway_core/admission.py
+++ b/packages/lavenderway-core/lavenderway_core/admission.py
@@ -7,9 +7,10 @@
 from lavenderway_core.backlog import Backlog, Waiting
 from lavenderway_core.importance import Importance
 from lavenderway_core.limiter import Limiter, Sample
+from lavenderway_core.shedding import ShedLevel
 
 if TYPE_CHECKING:
-    from lavenderway_core.ids import JobId, RouteId
+    from lavenderway_core.ids import JobId, RouteId, WorkspaceId
 
 STALL_S = 0.5
 STALL_RATIO = 10.0  # silence relative to the usual time of an answer
@@ -19,8 +20,6 @@
 QUEUE_MAX_WAIT_S = 0.25
 QUEUE_MIN_LENGTH = 8
 QUEUE_PER_LIMIT = 2.0
-LEVEL_WINDOW_S = 0.1
-NOTHING_SHED = len(Importance)
 
 
 class LoadReport(NamedTuple):
@@ -30,15 +29,18 @@
         in_flight: Requests that run.
         queued: Requests that wait.
         limit: Concurrency limit.
-        shed_from: Lowest importance number that was wholly refused in the last
-            window; `NOTHING_SHED` if none was.
+        margin: Importance number at which requests are refused by the hash of their
+            root; higher ones are refused, lower ones admitted.
+        cutoff: Hash at the margin from which on the workspace of the request that this
+            report answers is refused.
 
     """
 
     in_flight: int
     queued: int
     limit: float
-    shed_from: int
+    margin: int
+    cutoff: float
 
 
 class Offer(NamedTuple):
@@ -76,14 +78,10 @@
         self._last_answer = now
         self._usual_s = 0.0
         self._above_target_since: float | None = None
-        self._level_ends = now + LEVEL_WINDOW_S
-        self._shed_from = NOTHING_SHED
-        self._admitted = [0] * len(Importance)
-        self._refused = [0] * len(Importance)
+        self.level = ShedLevel(now=now)
 
     def offer(self, waiting: Waiting, now: float) -> Offer:
-        """Decide on a job that has just arrived."""
-        self._roll_level(now)
+        """Decide on a job that the level has admitted."""
         if not len(self.backlog) and len(self.running) < self._slots:
             self.start(waiting, now)
             return Offer(starts=True, shed=None)
@@ -93,17 +91,15 @@
         victim = self.backlog.shed_for(waiting)
         if victim is not waiting:
             self.backlog.push(waiting)
-        self.count_refusal(victim.importance)
+        self.level.record_failure()
         return Offer(starts=False, shed=victim)
 
     def start(self, waiting: Waiting, now: float) -> None:
         """Count a job as running."""
-        self._admitted[waiting.importance] += 1
         if not self.running:
             self._last_answer = now
         in_flight = len(self.running) + 1
         self.running[waiting.job] = Running(now, in_flight)
-        self.limiter.record_start(in_flight)
 
     def next_startable(self, now: float) -> Waiting | None:
         """Start the next waiting job if the limit allows; return it."""
@@ -151,15 +147,26 @@
         patience_s = max(STALL_S, self._usual_s * STALL_RATIO)
         return now - self._last_answer > patience_s
 
-    def count_refusal(self, importance: Importance) -> None:
-        """Count a refused job for the shedding level."""
-        self._refused[importance] += 1
+    def admits(self, waiting: Waiting, now: float) -> bool:
+        """Tell whether the level admits a job, and count it."""
+        self.level.roll(now)
+        admitted = self.level.admits(
+            waiting.importance, waiting.workspace, waiting.rank
+        )
+        self.level.record_arrival(
+            waiting.importance, waiting.workspace, waiting.weight, admitted=admitted
+        )
+        return admitted
 
-    def report(self, now: float) -> LoadReport:
-        """Return the load to send along with a reply."""
-        self._roll_level(now)
+    def report(self, workspace: WorkspaceId | None, now: float) -> LoadReport:
+        """Return the load to send along with a reply to a workspace's request."""
+        self.level.roll(now)
         return LoadReport(
-            len(self.running), len(self.backlog), self.limiter.limit, self._shed_from
+            len(self.running),
+            len(self.backlog),
+            self.limiter.limit,
+            int(self.level.margin),
+            self.level.cutoff_for(workspace),
         )
 
     @property
@@ -169,15 +176,3 @@
     @property
     def _queue_length(self) -> int:
         return max(QUEUE_MIN_LENGTH, int(self.limiter.limit * QUEUE_PER_LIMIT))
-
-    def _roll_level(self, now: float) -> None:
-        if now < self._level_ends:
-            return
-        self._level_ends = now + LEVEL_WINDOW_S
-        self._shed_from = NOTHING_SHED
-        for importance in reversed(Importance):
-            if self._admitted[importance] or not self._refused[importance]:
-                break
-            self._shed_from = importance
-        self._admitted = [0] * len(Importance)
-        self._refused = [0] * len(Importance)
--- a/packages/lavenderway-core/lavenderway_core/backlog.py
+++ b/packages/lavenderway-core/lavenderway_core/backlog.py
@@ -26,7 +26,7 @@
     workspace: WorkspaceId | None
     importance: Importance
     weight: float
-    rank: int
+    rank: float
     since: float
 
 
--- a/packages/lavenderway-core/lavenderway_core/balancer.py
+++ b/packages/lavenderway-core/lavenderway_core/balancer.py
@@ -4,14 +4,21 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from lavenderway_core.admission import NOTHING_SHED, LoadReport
-from lavenderway_core.ids import FailureDomainId, HostId, ServiceId, UpstreamId
+from lavenderway_core.admission import LoadReport
+from lavenderway_core.ids import (
+    FailureDomainId,
+    HostId,
+    ServiceId,
+    UpstreamId,
+    WorkspaceId,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
     from random import Random
 
-    from lavenderway_core.importance import Importance
+from lavenderway_core.importance import Importance
+from lavenderway_core.shedding import NOTHING_SHED
 
 REPORT_MAX_AGE_S = 0.5
 EJECT_AFTER_FAILURES = 3
@@ -33,10 +40,19 @@
     upstream: UpstreamId
 
 
+class Standing(NamedTuple):
+    """What decides about shedding a request."""
+
+    importance: Importance
+    workspace: WorkspaceId | None
+    rank: float
+
+
 class _Record:
     """What this node knows of the load of one upstream."""
 
     __slots__ = (
+        "cutoffs",
         "ejected_until",
         "ejections",
         "failures",
@@ -50,7 +66,8 @@
         self.failures = 0
         self.ejections = 0
         self.ejected_until = 0.0
-        self.report = LoadReport(0, 0, UNKNOWN_LIMIT, NOTHING_SHED)
+        self.report = LoadReport(0, 0, UNKNOWN_LIMIT, NOTHING_SHED, 1.0)
+        self.cutoffs: dict[WorkspaceId | None, float] = {}
         self.reported_at = float("-inf")
 
     def utilisation(self, now: float) -> float:
@@ -60,11 +77,13 @@
             load = max(load, self.report.in_flight + self.report.queued)
         return load / max(self.report.limit, 1.0)
 
-    def sheds(self, importance: Importance, now: float) -> bool:
-        """Tell whether the upstream's node refuses `importance` at present."""
+    def sheds(self, request: Standing, now: float) -> bool:
+        """Tell whether the upstream's node refuses a request at present."""
         if now - self.reported_at > REPORT_MAX_AGE_S:
             return False
-        return importance >= self.report.shed_from
+        if request.importance != self.report.margin:
+            return request.importance > self.report.margin
+        return request.rank >= self.cutoffs.get(request.workspace, 1.0)
 
 
 class Balancer:
@@ -107,16 +126,16 @@
         return min(pool, key=lambda each: self._score(each, now))
 
     def all_shed(
-        self, candidates: Sequence[Candidate], importance: Importance, now: float
+        self, candidates: Sequence[Candidate], request: Standing, now: float
     ) -> bool:
-        """Tell whether every candidate refuses `importance` at present.
+        """Tell whether every candidate refuses a request at present.
 
         A small part of the requests is let through to learn when that ends.
         """
         if not candidates or self._random.random() < PROBE_RATIO:
             return False
         return all(
-            self._record(each.upstream).sheds(importance, now) for each in candidates
+            self._record(each.upstream).sheds(request, now) for each in candidates
         )
 
     def record_sent(self, upstream: UpstreamId) -> None:
@@ -129,10 +148,15 @@
         record.outstanding = max(0, record.outstanding - 1)
 
     def record_report(
-        self, upstream: UpstreamId, report: LoadReport, now: float
+        self,
+        upstream: UpstreamId,
+        workspace: WorkspaceId | None,
+        report: LoadReport,
+        now: float,
     ) -> None:
         """Keep the load that came with a reply; the upstream is reachable."""
         record = self._record(upstream)
+        record.cutoffs[workspace] = report.cutoff
         record.report = report
         record.reported_at = now
         record.failures = 0
--- a/packages/lavenderway-core/lavenderway_core/entry.py
+++ b/packages/lavenderway-core/lavenderway_core/entry.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from lavenderway_core import hosting, tokens
+from lavenderway_core.balancer import Standing
 from lavenderway_core.claims import claim_row
 from lavenderway_core.effects import (
     BreakAnswer,
@@ -30,6 +31,7 @@
 from lavenderway_core.reducer import Effects, handles
 from lavenderway_core.refusal import Outcome, Reason, Refusal
 from lavenderway_core.retries import MAX_ATTEMPTS, split_retries
+from lavenderway_core.shedding import rank_root
 from lavenderway_core.state import Exchange, ExchangePhase, JobPhase, NodeState
 from lavenderway_core.tokens import TokenNews, TokenOutcome
 
@@ -52,6 +54,7 @@
         Reason.NO_KEY,
     }
 )
+_OVERLOAD_REASONS = frozenset({Reason.SHED, Reason.DEADLINE})
 _BUDGETED_REASONS = frozenset({Reason.SHED, Reason.LINK_LOST})
 
 
@@ -101,9 +104,8 @@
     exchange = state.exchanges[number]
     call = exchange.call
     candidates = state.members.candidates(call.route.service)
-    if not exchange.attempts and state.balancer.all_shed(
-        candidates, call.importance, now
-    ):
+    standing = Standing(call.importance, call.workspace, rank_root(call.root))
+    if not exchange.attempts and state.balancer.all_shed(candidates, standing, now):
         detail = "Every upstream of the service refuses this importance at present."
         return finish(state, number, _shed(detail), now)
     chosen = state.balancer.choose(candidates, exchange.tried, now)
@@ -164,7 +166,8 @@
         return []
     exchange.phase = ExchangePhase.ANSWERING
     if event.load is not None and exchange.upstream is not None:
-        state.balancer.record_report(exchange.upstream, event.load, now)
+        workspace = exchange.call.workspace
+        state.balancer.record_report(exchange.upstream, workspace, event.load, now)
     return []
 
 
@@ -341,6 +344,8 @@
 ) -> Effects:
     """Refuse an exchange and forget it."""
     exchange = state.exchanges[number]
+    if refusal.reason in _OVERLOAD_REASONS:
+        hosting.note_nested_overload(state, exchange.call.parent)
     _end(state, number, exchange, now)
     fields: dict[str, object] = {
         "root": exchange.call.root,
@@ -390,7 +395,8 @@
     state.balancer.record_done(exchange.upstream)
     exchange.job = None
     if load is not None:
-        state.balancer.record_report(exchange.upstream, load, now)
+        workspace = exchange.call.workspace
+        state.balancer.record_report(exchange.upstream, workspace, load, now)
 
 
 def _end(state: NodeState, number: ExchangeId, exchange: Exchange, now: float) -> None:
--- a/packages/lavenderway-core/lavenderway_core/hosting.py
+++ b/packages/lavenderway-core/lavenderway_core/hosting.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from xxhash import xxh64_intdigest
-
 from lavenderway_core.admission import QUEUE_MAX_WAIT_S, Admission, LoadReport
 from lavenderway_core.backlog import Waiting
 from lavenderway_core.claims import (
@@ -35,10 +33,11 @@
     RunResult,
     TransactSettled,
 )
-from lavenderway_core.ids import ExchangeId, JobId, KeyId, RootId
+from lavenderway_core.ids import ExchangeId, JobId, KeyId, RootId, WorkspaceId
 from lavenderway_core.membership import UpstreamState
 from lavenderway_core.reducer import Effects, handles
 from lavenderway_core.refusal import Outcome, Reason, Refusal
+from lavenderway_core.shedding import rank_root
 from lavenderway_core.state import Job, JobPhase, LocalUpstream, NodeState
 from lavenderway_core.table import (
     ABSENT,
@@ -49,7 +48,6 @@
     Write,
 )
 
-RANK_MASK = 0xFFFF
 SHED_RETRY_AFTER_S = 1.0
 TABLE_RETRY_AFTER_S = 2.0
 
@@ -78,14 +76,23 @@
         deadline=now + spec.remaining_ms / 1000,
         phase=JobPhase.QUEUED,
     )
+    waiting = _waiting(state, job, record, now)
+    if not local.admission.admits(waiting, now):
+        state.jobs_by_number.pop(record.number)
+        detail = "The service is overloaded; this request is over the level."
+        return _refuse(state, job, _shed(detail), local, now, spec.workspace)
     state.jobs[job] = record
-    return _offer(state, job, record, local, now)
+    return _offer(state, job, record, waiting, local, now)
 
 
 def _offer(
-    state: NodeState, job: JobId, record: Job, local: LocalUpstream, now: float
+    state: NodeState,
+    job: JobId,
+    record: Job,
+    waiting: Waiting,
+    local: LocalUpstream,
+    now: float,
 ) -> Effects:
-    waiting = _waiting(state, job, record, now)
     offer = local.admission.offer(waiting, now)
     if offer.starts:
         return _start(state, job, record, local, now)
@@ -105,7 +112,7 @@
     if spec.workspace is not None:
         workspace = state.directory.workspaces.get(spec.workspace)
         weight = 1.0 if workspace is None else workspace.weight
-    rank = xxh64_intdigest(spec.root.encode()) & RANK_MASK
+    rank = rank_root(spec.root)
     return Waiting(job, spec.workspace, spec.importance, weight, rank, now)
 
 
@@ -269,6 +276,8 @@
             nested_s += now - record.nested_since
         own_s = max(0.0, now - record.begun.started - nested_s)
         admission.record_success(record.spec.route, record.begun, own_s, now)
+        if not record.overloaded_below:
+            admission.level.record_success()
     elif result in (RunResult.OVERLOADED, RunResult.NOT_SENT, RunResult.TIMED_OUT):
         admission.limiter.record_overload(now)
 
@@ -302,7 +311,7 @@
         return []
     local = state.upstreams.get(record.spec.upstream)
     if local is not None:
-        local.admission.count_refusal(record.spec.importance)
+        local.admission.level.record_failure()
     if now >= record.deadline:
         refusal = Refusal(Reason.DEADLINE)
     else:
@@ -330,11 +339,23 @@
         record.nested_s += now - record.nested_since
 
 
+def note_nested_overload(state: NodeState, parent: Context | None) -> None:
+    """Count a job whose own call was refused by overload further down, once."""
+    record = _parent_job(state, parent)
+    local = None if record is None else state.upstreams.get(record.spec.upstream)
+    if record is None or local is None or record.overloaded_below:
+        return
+    record.overloaded_below = True
+    local.admission.level.record_failure()
+
+
 def load_of(state: NodeState, job: JobId, now: float) -> LoadReport | None:
     """Return the load of the upstream that a job is for."""
     record = state.jobs.get(job)
     local = None if record is None else state.upstreams.get(record.spec.upstream)
-    return None if local is None else local.admission.report(now)
+    if record is None or local is None:
+        return None
+    return local.admission.report(record.spec.workspace, now)
 
 
 def is_draining(state: NodeState, local: LocalUpstream) -> bool:
@@ -396,13 +417,13 @@
         if now >= record.deadline:
             refusal = Refusal(Reason.DEADLINE)
         elif local.admission.sheds_standing_queue(waiting, now):
-            local.admission.count_refusal(waiting.importance)
+            local.admission.level.record_failure()
             refusal = _shed("The queue of the upstream stands.")
         else:
             effects += _start(state, waiting.job, record, local, now)
             continue
         _withdraw(state, waiting.job, local)
-        effects += _refuse(state, waiting.job, refusal, local, now)
+        effects += _refuse(state, waiting.job, refusal, local, now, waiting.workspace)
     return effects
 
 
@@ -413,8 +434,10 @@
     local: LocalUpstream | None,
     now: float,
 ) -> Effects:
+    record = state.jobs.get(job)
+    workspace = None if record is None else record.spec.workspace
     _withdraw(state, job, local)
-    effects = _refuse(state, job, refusal, local, now)
+    effects = _refuse(state, job, refusal, local, now, workspace)
     return effects + _start_next(state, local, now)
 
 
@@ -424,8 +447,9 @@
     refusal: Refusal,
     local: LocalUpstream | None,
     now: float,
+    workspace: WorkspaceId | None = None,
 ) -> Effects:
-    load = None if local is None else local.admission.report(now)
+    load = None if local is None else local.admission.report(workspace, now)
     fields: dict[str, object] = {
         "origin": job.origin,
         "cause": refusal.reason.label,
--- a/packages/lavenderway-core/lavenderway_core/limiter.py
+++ b/packages/lavenderway-core/lavenderway_core/limiter.py
@@ -1,14 +1,15 @@
 """Adaptive concurrency limit of one upstream, learned from latency and failures.
 
-The limit grows while it is used and latency stays near its baseline. When latency
-exceeds the baseline by more than a tolerance, the limiter probes: it halves the limit
-until latency no longer falls with it. The last step shows the upstream's time without
-queueing, and Little's law then gives the number of its slots from the throughput seen
-before. A service that is slow at any concurrency is thus told from one that queues.
-
-Latency is the upstream's own time, without the time it waited for its own calls. The
-rule builds on the gradient limits of the field (TCP Vegas, applied to concurrency) and
-on the probing of BBR.
+The limit grows while it is used and requests spend little time queueing inside the
+upstream. When queueing lengthens the time that a request occupies the upstream by more
+than a tolerance, the limit is cut to the slots that Little's law gives. If that does
+not shorten the time, the upstream does not queue but is slower than it was: its
+baseline is learned again, and the slots are worked out anew from the times before the
+cut. An upstream that slows down thus keeps its limit.
+
+Queueing is looked for in the upstream's own time, without the time it waited for its
+own calls, and is weighed against the whole time. The rule builds on the gradient limits
+of the field (TCP Vegas, applied to concurrency).
 """
 
 from __future__ import annotations
@@ -22,15 +23,19 @@
 MIN_LIMIT = 1.0
 MAX_LIMIT = 2000.0
 WINDOW_S = 0.1
-WINDOW_MIN_SAMPLES = 16
+WINDOW_MIN_SAMPLES = 8
 MAX_WINDOW_S = 1.0
-TOLERANCE = 1.4  # ratio of latency to baseline at which a probe begins
-FALLING_RATIO = 0.75  # latency at half the limit, below which the upstream queued
-PROBE_FACTOR = 0.5
+TOLERANCE = 1.4  # ratio of whole time to time without queueing that starts a probe
+DOUBLING_INFLATION = 1.15  # with more queueing the limit no longer doubles
+BASELINE_PART = 1 / 3  # of the limit; requests above it may have queued
+MIN_QUEUEING_S = 0.003  # less than this is noise of schedulers
+MAX_CUT = 0.5  # factors of one cut
+MIN_CUT = 0.85
 HEADROOM = 1.15  # over the slots found, so that they stay busy
 FAILURE_RATIO = 0.1
 FAILURE_CUT = 0.85
 USED_RATIO = 0.85
+FULL_PART = 0.3  # part of the requests that must have started near the limit
 BASELINE_GAIN = 0.02
 FASTER_RATIO = 0.9
 
@@ -40,7 +45,7 @@
 
     GROWING = "growing"
     STEADY = "steady"
-    PROBING = "probing"
+    CUTTING = "cutting"
 
 
 class Sample(NamedTuple):
@@ -61,6 +66,20 @@
     in_flight: int
 
 
+class _Step(NamedTuple):
+    """Mean times at one limit before a cut, in seconds."""
+
+    limit: float
+    total_s: float
+    own_s: float
+
+    def slots(self, free_own_s: float) -> float:
+        """Return the slots by Little's law, given the own time without queueing."""
+        queueing_s = max(0.0, self.own_s - free_own_s)
+        free_s = max(self.total_s - queueing_s, self.total_s * 0.05)
+        return self.limit * free_s / self.total_s
+
+
 class _Window:
     """Sums over the samples of one measuring window."""
 
@@ -68,9 +87,9 @@
         "baseline_s",
         "count",
         "failures",
+        "full",
         "own_by_route",
         "own_s",
-        "peak",
         "starts",
         "total_s",
     )
@@ -79,20 +98,32 @@
         self.starts = starts
         self.count = 0
         self.failures = 0
-        self.peak = 0
+        self.full = 0
         self.total_s = 0.0
         self.own_s = 0.0
         self.baseline_s = 0.0
         self.own_by_route: dict[RouteId, tuple[int, float]] = {}
 
     @property
-    def ratio(self) -> float:
+    def own_ratio(self) -> float:
         """Own time relative to the baselines of the routes."""
         return self.own_s / max(self.baseline_s, 1e-6)
 
-    def add(self, sample: Sample, baseline: float) -> None:
-        """Add one sample whose route has `baseline`."""
+    @property
+    def queueing_s(self) -> float:
+        """Mean time of a request in the upstream's own queue, by the baselines."""
+        return max(0.0, self.own_s - self.baseline_s) / max(1, self.count)
+
+    @property
+    def inflation(self) -> float:
+        """Whole time relative to the whole time without queueing."""
+        excess_s = max(0.0, self.own_s - self.baseline_s)
+        return self.total_s / max(self.total_s - excess_s, 1e-6)
+
+    def add(self, sample: Sample, baseline: float, limit: float) -> None:
+        """Add one sample whose route has `baseline`, run under `limit`."""
         self.count += 1
+        self.full += sample.in_flight >= int(limit) * USED_RATIO
         self.total_s += sample.total_s
         self.own_s += sample.own_s
         self.baseline_s += baseline
@@ -108,29 +139,25 @@
 
     """
 
-    __slots__ = ("_baselines", "_before", "_limit_before", "_window", "limit", "phase")
+    __slots__ = ("_baselines", "_steps", "_window", "limit", "phase")
 
     def __init__(self, *, now: float) -> None:
         self.limit = INITIAL_LIMIT
         self.phase = Phase.GROWING
         self._baselines: dict[RouteId, float] = {}
         self._window = _Window(now)
-        self._before: _Window | None = None
-        self._limit_before = INITIAL_LIMIT
-
-    def record_start(self, in_flight: int) -> None:
-        """Note how many requests are in flight after a start."""
-        self._window.peak = max(self._window.peak, in_flight)
+        self._steps: list[_Step] = []
 
     def record_success(self, sample: Sample, now: float) -> None:
         """Learn from one whole answer."""
         baseline = self._baselines.setdefault(sample.route, sample.own_s)
-        if sample.started < self._window.starts and self.phase is Phase.PROBING:
+        if sample.started < self._window.starts and self.phase is Phase.CUTTING:
             return
-        if sample.in_flight <= self.limit / 2 and self.phase is not Phase.PROBING:
+        alone = sample.in_flight <= max(1.0, self.limit * BASELINE_PART)
+        if alone and self.phase is not Phase.CUTTING:
             gained = baseline + (sample.own_s - baseline) * BASELINE_GAIN
             self._baselines[sample.route] = gained
-        self._window.add(sample, baseline)
+        self._window.add(sample, baseline, self.limit)
         self._close_window(now)
 
     def record_overload(self, now: float) -> None:
@@ -148,61 +175,72 @@
         self._window = _Window(now)
         if window.failures > window.count * FAILURE_RATIO:
             self._cut_after_failures()
-        elif self.phase is Phase.PROBING:
-            self._continue_probe(window)
+        elif self.phase is Phase.CUTTING:
+            self._judge_cut(window)
         else:
             self._adapt(window)
 
     def _cut_after_failures(self) -> None:
         self.phase = Phase.STEADY
-        self._before = None
+        self._steps.clear()
         self.limit = max(MIN_LIMIT, self.limit * FAILURE_CUT)
 
     def _adapt(self, window: _Window) -> None:
-        used = window.peak >= self.limit * USED_RATIO
-        if window.ratio < FASTER_RATIO:
-            self._scale_baselines(window.ratio)
-        if window.ratio > TOLERANCE and used:
-            self._start_probe(window)
-        elif used:
-            self._grow()
-
-    def _grow(self) -> None:
+        if window.own_ratio < FASTER_RATIO:
+            self._scale_baselines(window.own_ratio)
+        if not self._is_used(window):
+            return
+        if self._queues(window):
+            self._cut(window)
+        else:
+            self._grow(window)
+
+    @staticmethod
+    def _queues(window: _Window) -> bool:
+        noticeable = window.queueing_s > MIN_QUEUEING_S
+        return noticeable and window.inflation > TOLERANCE
+
+    def _is_used(self, window: _Window) -> bool:
+        """Tell whether the limit, rather than the demand, bounds the concurrency."""
+        return window.full >= window.count * FULL_PART
+
+    def _grow(self, window: _Window) -> None:
+        if window.inflation > DOUBLING_INFLATION:
+            self.phase = Phase.STEADY
         step = self.limit if self.phase is Phase.GROWING else self.limit**0.5 / 4
         self.limit = min(MAX_LIMIT, self.limit + max(0.5, step))
 
-    def _start_probe(self, window: _Window) -> None:
-        self.phase = Phase.PROBING
-        self._before = window
-        self._limit_before = self.limit
-        self.limit = max(MIN_LIMIT, self.limit * PROBE_FACTOR)
-
-    def _continue_probe(self, window: _Window) -> None:
-        before = self._before
-        if before is None or window.peak < self.limit * USED_RATIO:
-            self._end_probe(self._limit_before)
+    def _cut(self, window: _Window) -> None:
+        self.phase = Phase.CUTTING
+        mean_total_s = window.total_s / window.count
+        step = _Step(self.limit, mean_total_s, window.own_s / window.count)
+        self._steps.append(step)
+        factor = min(MIN_CUT, max(MAX_CUT, HEADROOM / window.inflation))
+        self.limit = max(MIN_LIMIT, self.limit * factor)
+
+    def _judge_cut(self, window: _Window) -> None:
+        """Decide after a cut whether it helped, is to go on, or was wrong."""
+        if not window.count or not self._queues(window):
+            self._end_cuts(self.limit)
             return
-        falling = window.ratio < before.ratio * FALLING_RATIO
+        last = self._steps[-1]
+        expected = (1 + self.limit / last.limit) / 2
+        falling = window.total_s / window.count < last.total_s * expected
         if falling and self.limit > MIN_LIMIT:
-            self._start_probe(window)
+            self._cut(window)
             return
         self._learn_baselines(window)
-        self._end_probe(self._estimate_slots(before, window) * HEADROOM)
+        free_own_s = window.own_s / window.count
+        slots = max(step.slots(free_own_s) for step in self._steps)
+        self._end_cuts(slots * HEADROOM)
 
-    def _end_probe(self, limit: float) -> None:
+    def _end_cuts(self, limit: float) -> None:
         self.phase = Phase.STEADY
-        self._before = None
+        self._steps.clear()
         self.limit = min(MAX_LIMIT, max(MIN_LIMIT, limit))
 
-    def _estimate_slots(self, before: _Window, probe: _Window) -> float:
-        """Return throughput before the probe times the time without queueing."""
-        total_s = before.total_s / before.count
-        queueing_s = before.own_s / before.count - probe.own_s / probe.count
-        free_s = max(total_s - max(0.0, queueing_s), total_s * 0.05)
-        return self._limit_before * free_s / total_s
-
     def _learn_baselines(self, window: _Window) -> None:
-        self._scale_baselines(window.ratio)
+        self._scale_baselines(window.own_ratio)
         for route, (count, own_s) in window.own_by_route.items():
             if count >= WINDOW_MIN_SAMPLES:
                 self._baselines[route] = own_s / count
--- a/packages/lavenderway-core/lavenderway_core/state.py
+++ b/packages/lavenderway-core/lavenderway_core/state.py
@@ -87,6 +87,7 @@
         nested_since: Time at which the first of them began, in seconds.
         nested_s: Time spent waiting for such calls so far.
         claim_version: Version of the claimed row.
+        overloaded_below: Whether a call of the upstream was refused by overload.
 
     """
 
@@ -99,6 +100,7 @@
     nested_since: float = 0.0
     nested_s: float = 0.0
     claim_version: int | None = None
+    overloaded_below: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
--- a/packages/lavenderway-dev/lavenderway_dev/baseline_node.py
+++ b/packages/lavenderway-dev/lavenderway_dev/baseline_node.py
@@ -31,6 +31,10 @@
         """Take no notice of silence."""
         return False
 
+    def admits(self, waiting: Waiting, now: float) -> bool:
+        """Admit everything."""
+        return True
+
 
 class FixedLimit(Admission):
     """A fixed concurrency limit with one first-in first-out queue."""
@@ -50,6 +54,10 @@
         )
         return super().offer(alike, now)
 
+    def admits(self, waiting: Waiting, now: float) -> bool:
+        """Admit everything."""
+        return True
+
     def sheds_standing_queue(self, waiting: Waiting, now: float) -> bool:
         """Shed nothing by delay."""
         return False
--- a/packages/lavenderway-node/lavenderway_node/resource_view.py
+++ b/packages/lavenderway-node/lavenderway_node/resource_view.py
@@ -159,7 +159,8 @@
 
 def _view_load(state: NodeState, name: Any, now: float) -> Document:
     local = state.upstreams[name]
-    load = local.admission.report(now)
+    load = local.admission.report(None, now)
+    level = local.admission.level
     return {
         "name": name,
         "service": local.service,
@@ -167,7 +168,10 @@
         "queued": load.queued,
         "limit": round(load.limit, 1),
         "limiter": local.admission.limiter.phase.value,
-        "shed_from": load.shed_from,
+        "shed_margin": load.margin,
+        "shed_cutoffs": {
+            str(name): round(cutoff, 3) for name, cutoff in level.cutoffs.items()
+        },
         "stalled": local.admission.is_stalled(now),
     }
 
