Take failures since the last cut only, and times of requests that ran out

Cause: after a service had been ten times slower for six seconds, limits had fallen to one slot, because a deadline that passed counted as a refusal of the upstream, and the level recovered over four seconds. Ruled out: the baselines, which followed the slower service. Change: a request that ran out of time is a latency sample; failures of requests that came before the last cut are not counted again; clean windows raise the level in growing steps; work that cannot be answered in time is not begun.

--- a/packages/lavenderway-core/lavenderway_core/admission.py
+++ b/packages/lavenderway-core/lavenderway_core/admission.py
@@ -14,7 +14,8 @@
 
 STALL_S = 0.5
 STALL_RATIO = 10.0  # silence relative to the usual time of an answer
-USUAL_GAIN = 0.05
+USUAL_GAIN = 0.1
+TOO_LATE_RATIO = 0.7  # of the usual time of an answer
 QUEUE_TARGET_S = 0.05
 QUEUE_INTERVAL_S = 0.1
 QUEUE_MAX_WAIT_S = 0.25
@@ -76,7 +77,7 @@
         self.backlog = Backlog()
         self.running: dict[JobId, Running] = {}
         self._last_answer = now
-        self._usual_s = 0.0
+        self._usual_s: dict[RouteId, float] = {}
         self._above_target_since: float | None = None
         self.level = ShedLevel(now=now)
 
@@ -91,7 +92,7 @@
         victim = self.backlog.shed_for(waiting)
         if victim is not waiting:
             self.backlog.push(waiting)
-        self.level.record_failure()
+        self.level.record_failure(victim.since)
         return Offer(starts=False, shed=victim)
 
     def start(self, waiting: Waiting, now: float) -> None:
@@ -130,21 +131,30 @@
         """End a running job; return how it began, None if it was not running."""
         return self.running.pop(job, None)
 
-    def record_success(
+    def record_answer(self, now: float) -> None:
+        """Note a whole answer that no overload further down has spoilt."""
+        self._last_answer = now
+        self.level.record_success()
+
+    def record_time(
         self, route: RouteId, begun: Running, own_s: float, now: float
     ) -> None:
-        """Learn from a whole answer with `own_s` seconds of the upstream's own time."""
+        """Learn from a request that took `own_s` seconds of the upstream's own time.
+
+        A request that ran into its deadline counts with the time until then.
+        """
         total_s = now - begun.started
-        self._last_answer = now
-        self._usual_s += (total_s - self._usual_s) * USUAL_GAIN
+        usual_s = self._usual_s.setdefault(route, total_s)
+        self._usual_s[route] = usual_s + (total_s - usual_s) * USUAL_GAIN
         sample = Sample(route, begun.started, total_s, own_s, begun.in_flight)
-        self.limiter.record_success(sample, now)
+        self.limiter.record_time(sample, now)
 
     def is_stalled(self, now: float) -> bool:
         """Tell whether the upstream has been silent for far longer than usual."""
         if len(self.running) < self._slots:
             return False
-        patience_s = max(STALL_S, self._usual_s * STALL_RATIO)
+        usual_s = max(self._usual_s.values(), default=0.0)
+        patience_s = max(STALL_S, usual_s * STALL_RATIO)
         return now - self._last_answer > patience_s
 
     def admits(self, waiting: Waiting, now: float) -> bool:
@@ -158,6 +168,10 @@
         )
         return admitted
 
+    def is_too_late(self, route: RouteId, left_s: float) -> bool:
+        """Tell whether a request could not be answered in the time it has left."""
+        return left_s < self._usual_s.get(route, 0.0) * TOO_LATE_RATIO
+
     def report(self, workspace: WorkspaceId | None, now: float) -> LoadReport:
         """Return the load to send along with a reply to a workspace's request."""
         self.level.roll(now)
--- a/packages/lavenderway-core/lavenderway_core/hosting.py
+++ b/packages/lavenderway-core/lavenderway_core/hosting.py
@@ -75,8 +75,14 @@
         number=_take_number(state, job),
         deadline=now + spec.remaining_ms / 1000,
         phase=JobPhase.QUEUED,
+        arrived=now,
     )
     waiting = _waiting(state, job, record, now)
+    left_s = spec.remaining_ms / 1000
+    if local.admission.is_too_late(spec.route, left_s):
+        state.jobs_by_number.pop(record.number)
+        detail = "The upstream would answer after the deadline."
+        return _refuse(state, job, _shed(detail), local, now, spec.workspace)
     if not local.admission.admits(waiting, now):
         state.jobs_by_number.pop(record.number)
         detail = "The service is overloaded; this request is over the level."
@@ -270,16 +276,18 @@
 
 
 def _learn(admission: Admission, record: Job, result: RunResult, now: float) -> None:
-    if result is RunResult.WHOLE and record.begun is not None:
+    if result in (RunResult.OVERLOADED, RunResult.NOT_SENT):
+        admission.limiter.record_overload(now)
+    if result in (RunResult.WHOLE, RunResult.TIMED_OUT) and record.begun is not None:
         nested_s = record.nested_s
         if record.nested:
             nested_s += now - record.nested_since
         own_s = max(0.0, now - record.begun.started - nested_s)
-        admission.record_success(record.spec.route, record.begun, own_s, now)
-        if not record.overloaded_below:
-            admission.level.record_success()
-    elif result in (RunResult.OVERLOADED, RunResult.NOT_SENT, RunResult.TIMED_OUT):
-        admission.limiter.record_overload(now)
+        admission.record_time(record.spec.route, record.begun, own_s, now)
+    if result is not RunResult.WHOLE:
+        admission.level.record_failure(record.arrived)
+    elif not record.overloaded_below:
+        admission.record_answer(now)
 
 
 @handles(JobCancelled)
@@ -311,7 +319,7 @@
         return []
     local = state.upstreams.get(record.spec.upstream)
     if local is not None:
-        local.admission.level.record_failure()
+        local.admission.level.record_failure(record.arrived)
     if now >= record.deadline:
         refusal = Refusal(Reason.DEADLINE)
     else:
@@ -346,7 +354,7 @@
     if record is None or local is None or record.overloaded_below:
         return
     record.overloaded_below = True
-    local.admission.level.record_failure()
+    local.admission.level.record_failure(record.arrived)
 
 
 def load_of(state: NodeState, job: JobId, now: float) -> LoadReport | None:
@@ -414,10 +422,14 @@
         return effects
     while (waiting := local.admission.next_startable(now)) is not None:
         record = state.jobs[waiting.job]
-        if now >= record.deadline:
+        left_s = record.deadline - now
+        if left_s <= 0:
             refusal = Refusal(Reason.DEADLINE)
+        elif local.admission.is_too_late(record.spec.route, left_s):
+            local.admission.level.record_failure(record.arrived)
+            refusal = _shed("The upstream would answer after the deadline.")
         elif local.admission.sheds_standing_queue(waiting, now):
-            local.admission.level.record_failure()
+            local.admission.level.record_failure(record.arrived)
             refusal = _shed("The queue of the upstream stands.")
         else:
             effects += _start(state, waiting.job, record, local, now)
--- a/packages/lavenderway-core/lavenderway_core/limiter.py
+++ b/packages/lavenderway-core/lavenderway_core/limiter.py
@@ -49,11 +49,11 @@
 
 
 class Sample(NamedTuple):
-    """Timing of one whole answer.
+    """Timing of one request.
 
     Attributes:
         started: Time at which the request was given to the upstream, in seconds.
-        total_s: Time until the answer was whole.
+        total_s: Time until the answer was whole or the request was given up.
         own_s: Part of `total_s` in which the upstream waited for no call of its own.
         in_flight: Requests in flight at the start.
 
@@ -148,8 +148,8 @@
         self._window = _Window(now)
         self._steps: list[_Step] = []
 
-    def record_success(self, sample: Sample, now: float) -> None:
-        """Learn from one whole answer."""
+    def record_time(self, sample: Sample, now: float) -> None:
+        """Learn from the times of one request."""
         baseline = self._baselines.setdefault(sample.route, sample.own_s)
         if sample.started < self._window.starts and self.phase is Phase.CUTTING:
             return
--- a/packages/lavenderway-core/lavenderway_core/shedding.py
+++ b/packages/lavenderway-core/lavenderway_core/shedding.py
@@ -25,11 +25,14 @@
     from lavenderway_core.ids import WorkspaceId
 
 WINDOW_S = 0.25
-MAX_FAILED_RATIO = 0.05
-RAISE_RATIO = 1.05
+MAX_WINDOW_S = 0.5
+MIN_EVENTS = 4
+MAX_FAILED_RATIO = 0.1
+RAISE_STEP = 0.06  # part of the target, doubled with each clean window in a row
+MAX_RAISE_STEP = 1.0
 RAISE_PER_S = 2.0
 DONE_GAIN = 0.5
-MAX_CUT = 0.3
+MAX_CUT = 0.5
 DEMAND_GAIN = 0.4
 HIDDEN_DECAY = 0.98  # per window, of a demand that is refused elsewhere already
 MIN_CUTOFF = 0.02
@@ -60,7 +63,8 @@
         self._done_per_s = 0.0
         self._done = 0
         self._failed = 0
-        self._cut_last = False
+        self._cut_at = float("-inf")
+        self._clean = 0
         self._seen: list[Counter[WorkspaceId | None]] = [Counter() for _ in Importance]
         self._demand: list[Demand] = [{} for _ in Importance]
         self._weights: Demand = {}
@@ -90,9 +94,13 @@
         """Count a whole answer."""
         self._done += 1
 
-    def record_failure(self) -> None:
-        """Count a request that was admitted and failed by overload."""
-        self._failed += 1
+    def record_failure(self, arrived: float) -> None:
+        """Count a request that was admitted and failed by overload.
+
+        One that arrived before the last cut says nothing about the level since then.
+        """
+        if arrived >= self._cut_at:
+            self._failed += 1
 
     def cutoff_for(self, workspace: WorkspaceId | None) -> float:
         """Return the cutoff of a workspace at the margin."""
@@ -101,14 +109,17 @@
     def roll(self, now: float) -> None:
         """Close the window if it has lasted long enough, and set the next level."""
         elapsed_s = now - self._window_starts
-        if elapsed_s < WINDOW_S:
+        enough = self._done + self._failed >= MIN_EVENTS or elapsed_s > MAX_WINDOW_S
+        if elapsed_s < WINDOW_S or not enough:
             return
         self._update_demand(elapsed_s)
         done_per_s = self._done / elapsed_s
         self._done_per_s += (done_per_s - self._done_per_s) * DONE_GAIN
         overloaded = self._failed > max(1.0, self._done * MAX_FAILED_RATIO)
         if overloaded or self.margin < NOTHING_SHED:
-            self._target_per_s = self._next_target(overloaded=overloaded)
+            self._target_per_s = self._next_target(
+                elapsed_s, now, overloaded=overloaded
+            )
             self._set_level(self._target_per_s)
         self._window_starts = now
         self._done = 0
@@ -116,19 +127,17 @@
         for seen in self._seen:
             seen.clear()
 
-    def _next_target(self, *, overloaded: bool) -> float:
+    def _next_target(self, elapsed_s: float, now: float, *, overloaded: bool) -> float:
         """Return the requests per second to admit next."""
-        if self.margin == NOTHING_SHED:
-            self._cut_last = True
-            return max(1.0, self._done_per_s)
         if not overloaded:
-            self._cut_last = False
+            step = min(MAX_RAISE_STEP, RAISE_STEP * 2.0**self._clean)
+            self._clean += 1
             base = max(self._target_per_s, self._done_per_s)
-            return base * RAISE_RATIO + RAISE_PER_S * WINDOW_S
-        if self._cut_last:  # these failures were admitted before the last cut
-            self._cut_last = False
-            return self._target_per_s
-        self._cut_last = True
+            return base * (1 + step) + RAISE_PER_S * elapsed_s
+        self._clean = 0
+        self._cut_at = now
+        if self.margin == NOTHING_SHED:
+            return max(1.0, self._done_per_s)
         failed = self._failed / (self._failed + self._done)
         return max(1.0, self._target_per_s * (1 - min(MAX_CUT, failed)))
 
--- a/packages/lavenderway-core/lavenderway_core/state.py
+++ b/packages/lavenderway-core/lavenderway_core/state.py
@@ -95,6 +95,7 @@
     number: ExchangeId
     deadline: float
     phase: JobPhase
+    arrived: float
     begun: Running | None = None
     nested: int = 0
     nested_since: float = 0.0
--- a/packages/lavenderway-dev/lavenderway_dev/bench_overload.py
+++ b/packages/lavenderway-dev/lavenderway_dev/bench_overload.py
@@ -303,6 +303,7 @@
 def bench_overload() -> None:
     """Print the users' measures for each case and policy."""
     chosen = os.environ.get("LAVENDERWAY_CASES", "")
+    policies = os.environ.get("LAVENDERWAY_POLICIES", " ".join(POLICIES)).split()
     print(f"capacity {CAPACITY_PER_S:.0f} whole requests/s; goodput relative to it")
     for case in CASES:
         if chosen and chosen not in case.name:
@@ -312,7 +313,7 @@
             "policy        goodput  critical  worst ws  recovery s  after  "
             "refused calm  runs/whole  p99 ms"
         )
-        for policy in POLICIES:
+        for policy in policies:
             report = run_case(case, policy)
             recovery = (
                 "never" if report.recovery_s is None else f"{report.recovery_s:.1f}"
