--- a/packages/lavenderway-core/lavenderway_core/admission.py
+++ b/packages/lavenderway-core/lavenderway_core/admission.py
@@ -15,7 +15,7 @@
 STALL_S = 0.5
 STALL_RATIO = 10.0  # silence relative to the usual time of an answer
 USUAL_GAIN = 0.1
-TOO_LATE_RATIO = 0.7  # of the usual time of an answer
+TOO_LATE_RATIO = 1.0  # of the usual time of an answer
 QUEUE_TARGET_S = 0.05
 QUEUE_INTERVAL_S = 0.1
 QUEUE_MAX_WAIT_S = 0.25
@@ -34,6 +34,8 @@
             root; higher ones are refused, lower ones admitted.
         cutoff: Hash at the margin from which on the workspace of the request that this
             report answers is refused.
+        pressure: Use of the limit, here or at calls further down, whichever is more;
+            over 1 means queueing.
 
     """
 
@@ -42,6 +44,7 @@
     limit: float
     margin: int
     cutoff: float
+    pressure: float
 
 
 class Offer(NamedTuple):
@@ -80,6 +83,8 @@
         self._usual_s: dict[RouteId, float] = {}
         self._above_target_since: float | None = None
         self.level = ShedLevel(now=now)
+        self._below = 0.0
+        self._below_before = 0.0
 
     def offer(self, waiting: Waiting, now: float) -> Offer:
         """Decide on a job that the level has admitted."""
@@ -159,7 +164,7 @@
 
     def admits(self, waiting: Waiting, now: float) -> bool:
         """Tell whether the level admits a job, and count it."""
-        self.level.roll(now)
+        self._roll(now)
         admitted = self.level.admits(
             waiting.importance, waiting.workspace, waiting.rank
         )
@@ -174,15 +179,31 @@
 
     def report(self, workspace: WorkspaceId | None, now: float) -> LoadReport:
         """Return the load to send along with a reply to a workspace's request."""
-        self.level.roll(now)
+        self._roll(now)
         return LoadReport(
             len(self.running),
             len(self.backlog),
             self.limiter.limit,
             int(self.level.margin),
             self.level.cutoff_for(workspace),
+            self.pressure,
         )
 
+    @property
+    def pressure(self) -> float:
+        """Use of the limit, here or at calls further down, whichever is more."""
+        load = len(self.running) + len(self.backlog)
+        return max(load / self.limiter.limit, self._below, self._below_before)
+
+    def record_below(self, pressure: float) -> None:
+        """Note the pressure that a reply to a call of the upstream has told."""
+        self._below = max(self._below, pressure)
+
+    def _roll(self, now: float) -> None:
+        if self.level.roll(now, self.pressure):
+            self._below_before = self._below
+            self._below = 0.0
+
     @property
     def _slots(self) -> int:
         return max(1, int(self.limiter.limit))
--- a/packages/lavenderway-core/lavenderway_core/balancer.py
+++ b/packages/lavenderway-core/lavenderway_core/balancer.py
@@ -66,7 +66,7 @@
         self.failures = 0
         self.ejections = 0
         self.ejected_until = 0.0
-        self.report = LoadReport(0, 0, UNKNOWN_LIMIT, NOTHING_SHED, 1.0)
+        self.report = LoadReport(0, 0, UNKNOWN_LIMIT, NOTHING_SHED, 1.0, 0.0)
         self.cutoffs: dict[WorkspaceId | None, float] = {}
         self.reported_at = float("-inf")
 
--- a/packages/lavenderway-core/lavenderway_core/entry.py
+++ b/packages/lavenderway-core/lavenderway_core/entry.py
@@ -27,7 +27,7 @@
     JobSpec,
     RequestArrived,
 )
-from lavenderway_core.ids import ExchangeId, JobId
+from lavenderway_core.ids import ExchangeId, JobId, UpstreamId
 from lavenderway_core.reducer import Effects, handles
 from lavenderway_core.refusal import Outcome, Reason, Refusal
 from lavenderway_core.retries import MAX_ATTEMPTS, split_retries
@@ -166,8 +166,7 @@
         return []
     exchange.phase = ExchangePhase.ANSWERING
     if event.load is not None and exchange.upstream is not None:
-        workspace = exchange.call.workspace
-        state.balancer.record_report(exchange.upstream, workspace, event.load, now)
+        _note_load(state, exchange, exchange.upstream, event.load, now)
     return []
 
 
@@ -395,8 +394,18 @@
     state.balancer.record_done(exchange.upstream)
     exchange.job = None
     if load is not None:
-        workspace = exchange.call.workspace
-        state.balancer.record_report(exchange.upstream, workspace, load, now)
+        _note_load(state, exchange, exchange.upstream, load, now)
+
+
+def _note_load(
+    state: NodeState,
+    exchange: Exchange,
+    upstream: UpstreamId,
+    load: LoadReport,
+    now: float,
+) -> None:
+    state.balancer.record_report(upstream, exchange.call.workspace, load, now)
+    hosting.note_nested_load(state, exchange.call.parent, load)
 
 
 def _end(state: NodeState, number: ExchangeId, exchange: Exchange, now: float) -> None:
--- a/packages/lavenderway-core/lavenderway_core/events.py
+++ b/packages/lavenderway-core/lavenderway_core/events.py
@@ -129,6 +129,7 @@
     BROKEN = "broken"
     TIMED_OUT = "timed-out"
     CANCELLED = "cancelled"
+    NOT_STARTED = "not-started"
 
 
 class JobFinished(NamedTuple):
--- a/packages/lavenderway-core/lavenderway_core/hosting.py
+++ b/packages/lavenderway-core/lavenderway_core/hosting.py
@@ -259,7 +259,7 @@
     if local is not None:
         _learn(local.admission, record, event.result, now)
     release: Effects = []
-    if event.result is RunResult.NOT_SENT:
+    if event.result in (RunResult.NOT_SENT, RunResult.NOT_STARTED):
         release = _release_claim(state, event.job, record)
     refusal = None if event.answered else _REFUSALS.get(event.result)
     if refusal is not None:
@@ -268,6 +268,9 @@
     return release + _start_next(state, local, now)
 
 
+_OVERLOAD_RESULTS = frozenset(
+    {RunResult.OVERLOADED, RunResult.NOT_SENT, RunResult.TIMED_OUT}
+)
 _REFUSALS = {
     RunResult.NOT_SENT: Refusal(Reason.NO_UPSTREAM, Outcome.NOT_RUN, 1.0),
     RunResult.BROKEN: Refusal(Reason.LINK_LOST, Outcome.UNKNOWN, 1.0),
@@ -284,9 +287,9 @@
             nested_s += now - record.nested_since
         own_s = max(0.0, now - record.begun.started - nested_s)
         admission.record_time(record.spec.route, record.begun, own_s, now)
-    if result is not RunResult.WHOLE:
+    if result in _OVERLOAD_RESULTS:
         admission.level.record_failure(record.arrived)
-    elif not record.overloaded_below:
+    elif result is RunResult.WHOLE and not record.overloaded_below:
         admission.record_answer(now)
 
 
@@ -357,6 +360,16 @@
     local.admission.level.record_failure(record.arrived)
 
 
+def note_nested_load(
+    state: NodeState, parent: Context | None, load: LoadReport
+) -> None:
+    """Pass the pressure further down on to the upstream whose call it answers."""
+    record = _parent_job(state, parent)
+    local = None if record is None else state.upstreams.get(record.spec.upstream)
+    if local is not None:
+        local.admission.record_below(load.pressure)
+
+
 def load_of(state: NodeState, job: JobId, now: float) -> LoadReport | None:
     """Return the load of the upstream that a job is for."""
     record = state.jobs.get(job)
--- a/packages/lavenderway-core/lavenderway_core/shedding.py
+++ b/packages/lavenderway-core/lavenderway_core/shedding.py
@@ -30,6 +30,7 @@
 MAX_FAILED_RATIO = 0.1
 RAISE_STEP = 0.06  # part of the target, doubled with each clean window in a row
 MAX_RAISE_STEP = 1.0
+SPARE_PRESSURE = 0.7  # below it the level doubles at once
 RAISE_PER_S = 2.0
 DONE_GAIN = 0.5
 MAX_CUT = 0.5
@@ -65,6 +66,7 @@
         self._failed = 0
         self._cut_at = float("-inf")
         self._clean = 0
+        self._spare = False
         self._seen: list[Counter[WorkspaceId | None]] = [Counter() for _ in Importance]
         self._demand: list[Demand] = [{} for _ in Importance]
         self._weights: Demand = {}
@@ -106,12 +108,22 @@
         """Return the cutoff of a workspace at the margin."""
         return self.cutoffs.get(workspace, 1.0)
 
-    def roll(self, now: float) -> None:
-        """Close the window if it has lasted long enough, and set the next level."""
+    def roll(self, now: float, pressure: float = 1.0) -> bool:
+        """Close the window if it has lasted long enough, and set the next level.
+
+        Args:
+            now: Present time in seconds.
+            pressure: Use of the limits here and further down.
+
+        Returns:
+            Whether the window was closed.
+
+        """
         elapsed_s = now - self._window_starts
         enough = self._done + self._failed >= MIN_EVENTS or elapsed_s > MAX_WINDOW_S
         if elapsed_s < WINDOW_S or not enough:
-            return
+            return False
+        self._spare = pressure < SPARE_PRESSURE
         self._update_demand(elapsed_s)
         done_per_s = self._done / elapsed_s
         self._done_per_s += (done_per_s - self._done_per_s) * DONE_GAIN
@@ -126,11 +138,14 @@
         self._failed = 0
         for seen in self._seen:
             seen.clear()
+        return True
 
     def _next_target(self, elapsed_s: float, now: float, *, overloaded: bool) -> float:
         """Return the requests per second to admit next."""
         if not overloaded:
             step = min(MAX_RAISE_STEP, RAISE_STEP * 2.0**self._clean)
+            if self._spare:
+                step = MAX_RAISE_STEP
             self._clean += 1
             base = max(self._target_per_s, self._done_per_s)
             return base * (1 + step) + RAISE_PER_S * elapsed_s
--- a/packages/lavenderway-node/lavenderway_node/executors.py
+++ b/packages/lavenderway-node/lavenderway_node/executors.py
@@ -79,7 +79,7 @@
     given = node.input_of(effect.job)
     sink = node.sink_of(effect.job)
     if given is None or sink is None:
-        finished = JobFinished(effect.job, RunResult.CANCELLED, answered=False)
+        finished = JobFinished(effect.job, RunResult.NOT_STARTED, answered=False)
         node.dispatch(finished)
         return
     node.upstreams.start(effect, given, sink)
