Raise the level by the room that is left

Cause: in a slow spell clean windows in a row doubled the level while the last service was full, and 32 of 53 requests failed after three services. Change: with the limits in use a raise is small, with room it is threefold. Recovery after a slow spell is still 2.5 to 3.5 s.

--- a/packages/lavenderway-core/lavenderway_core/shedding.py
+++ b/packages/lavenderway-core/lavenderway_core/shedding.py
@@ -30,7 +30,9 @@
 MAX_FAILED_RATIO = 0.1
 RAISE_STEP = 0.06  # part of the target, doubled with each clean window in a row
 MAX_RAISE_STEP = 1.0
-SPARE_PRESSURE = 0.7  # below it the level doubles at once
+FULL_PRESSURE = 1.0  # from it on every raise is a small one
+SPARE_PRESSURE = 0.7  # below it there is room for far more
+SPARE_STEP = 2.0
 RAISE_PER_S = 2.0
 DONE_GAIN = 0.5
 MAX_CUT = 0.5
@@ -66,7 +68,7 @@
         self._failed = 0
         self._cut_at = float("-inf")
         self._clean = 0
-        self._spare = False
+        self._pressure = FULL_PRESSURE
         self._seen: list[Counter[WorkspaceId | None]] = [Counter() for _ in Importance]
         self._demand: list[Demand] = [{} for _ in Importance]
         self._weights: Demand = {}
@@ -121,9 +123,10 @@
         """
         elapsed_s = now - self._window_starts
         enough = self._done + self._failed >= MIN_EVENTS or elapsed_s > MAX_WINDOW_S
+        enough = enough or pressure < SPARE_PRESSURE
         if elapsed_s < WINDOW_S or not enough:
             return False
-        self._spare = pressure < SPARE_PRESSURE
+        self._pressure = pressure
         self._update_demand(elapsed_s)
         done_per_s = self._done / elapsed_s
         self._done_per_s += (done_per_s - self._done_per_s) * DONE_GAIN
@@ -143,9 +146,7 @@
     def _next_target(self, elapsed_s: float, now: float, *, overloaded: bool) -> float:
         """Return the requests per second to admit next."""
         if not overloaded:
-            step = min(MAX_RAISE_STEP, RAISE_STEP * 2.0**self._clean)
-            if self._spare:
-                step = MAX_RAISE_STEP
+            step = self._raise_step()
             self._clean += 1
             base = max(self._target_per_s, self._done_per_s)
             return base * (1 + step) + RAISE_PER_S * elapsed_s
@@ -156,6 +157,14 @@
         failed = self._failed / (self._failed + self._done)
         return max(1.0, self._target_per_s * (1 - min(MAX_CUT, failed)))
 
+    def _raise_step(self) -> float:
+        """Return by which part of the target to raise it after a clean window."""
+        if self._pressure < SPARE_PRESSURE:
+            return SPARE_STEP
+        if self._pressure >= FULL_PRESSURE:
+            return RAISE_STEP
+        return min(MAX_RAISE_STEP, RAISE_STEP * 2.0**self._clean)
+
     def _update_demand(self, elapsed_s: float) -> None:
         for importance in Importance:
             demand = self._demand[importance]
