Shed by level at the first service of a root request alone

Cause: after a slow spell the four services opened one after another, each taking the refusals of the next for overload, so recovery took 2.5 to 3.5 s. Ruled out: the limit, which stood at 8.6 of 4 slots by then. Change: a call further down has been admitted at the first service and is refused by queue and limit only; its failure counts at the first service.

--- a/packages/lavenderway-core/lavenderway_core/admission.py
+++ b/packages/lavenderway-core/lavenderway_core/admission.py
@@ -97,7 +97,8 @@
         victim = self.backlog.shed_for(waiting)
         if victim is not waiting:
             self.backlog.push(waiting)
-        self.level.record_failure(victim.since)
+        if victim.is_root:
+            self.level.record_failure(victim.since)
         return Offer(starts=False, shed=victim)
 
     def start(self, waiting: Waiting, now: float) -> None:
@@ -136,10 +137,11 @@
         """End a running job; return how it began, None if it was not running."""
         return self.running.pop(job, None)
 
-    def record_answer(self, now: float) -> None:
+    def record_answer(self, now: float, *, is_root: bool) -> None:
         """Note a whole answer that no overload further down has spoilt."""
         self._last_answer = now
-        self.level.record_success()
+        if is_root:
+            self.level.record_success()
 
     def record_time(
         self, route: RouteId, begun: Running, own_s: float, now: float
@@ -163,8 +165,14 @@
         return now - self._last_answer > patience_s
 
     def admits(self, waiting: Waiting, now: float) -> bool:
-        """Tell whether the level admits a job, and count it."""
+        """Tell whether the level admits a job, and count it.
+
+        A call further down has been admitted at the first service of its root request;
+        refusing it here would waste what has been done for it.
+        """
         self._roll(now)
+        if not waiting.is_root:
+            return True
         admitted = self.level.admits(
             waiting.importance, waiting.workspace, waiting.rank
         )
--- a/packages/lavenderway-core/lavenderway_core/backlog.py
+++ b/packages/lavenderway-core/lavenderway_core/backlog.py
@@ -18,6 +18,7 @@
     Attributes:
         rank: Position of the root request in the shedding order; the highest goes
             first, equally at each hop.
+        is_root: Whether it belongs to a root request that came here first.
         since: Time at which the job began to wait, in seconds.
 
     """
@@ -27,6 +28,7 @@
     importance: Importance
     weight: float
     rank: float
+    is_root: bool
     since: float
 
 
--- a/packages/lavenderway-core/lavenderway_core/entry.py
+++ b/packages/lavenderway-core/lavenderway_core/entry.py
@@ -105,7 +105,8 @@
     call = exchange.call
     candidates = state.members.candidates(call.route.service)
     standing = Standing(call.importance, call.workspace, rank_root(call.root))
-    if not exchange.attempts and state.balancer.all_shed(candidates, standing, now):
+    may_shed = call.is_root and not exchange.attempts
+    if may_shed and state.balancer.all_shed(candidates, standing, now):
         detail = "Every upstream of the service refuses this importance at present."
         return finish(state, number, _shed(detail), now)
     chosen = state.balancer.choose(candidates, exchange.tried, now)
@@ -151,6 +152,7 @@
         workspace=call.workspace,
         key=call.key,
         importance=call.importance,
+        is_root=call.is_root,
         remaining_ms=max(MIN_BUDGET_MS, remaining_ms),
         retries=exchange.passed_retries if exchange.attempts == 1 else 0,
         claim=claim_row(call),
--- a/packages/lavenderway-core/lavenderway_core/events.py
+++ b/packages/lavenderway-core/lavenderway_core/events.py
@@ -82,6 +82,7 @@
     """What the upstream's node needs to know of a call.
 
     Attributes:
+        is_root: Whether it is a root request rather than a call further down.
         remaining_ms: Time budget left when the entry node sent it.
         retries: Retries passed down the chain.
         claim: Row that must be claimed before the call runs; None for no claim.
@@ -95,6 +96,7 @@
     workspace: WorkspaceId | None
     key: str | None
     importance: Importance
+    is_root: bool
     remaining_ms: int
     retries: int
     claim: str | None
--- a/packages/lavenderway-core/lavenderway_core/hosting.py
+++ b/packages/lavenderway-core/lavenderway_core/hosting.py
@@ -119,7 +119,9 @@
         workspace = state.directory.workspaces.get(spec.workspace)
         weight = 1.0 if workspace is None else workspace.weight
     rank = rank_root(spec.root)
-    return Waiting(job, spec.workspace, spec.importance, weight, rank, now)
+    return Waiting(
+        job, spec.workspace, spec.importance, weight, rank, spec.is_root, now
+    )
 
 
 def _start(
@@ -288,9 +290,18 @@
         own_s = max(0.0, now - record.begun.started - nested_s)
         admission.record_time(record.spec.route, record.begun, own_s, now)
     if result in _OVERLOAD_RESULTS:
-        admission.level.record_failure(record.arrived)
+        _record_failure(admission, record)
     elif result is RunResult.WHOLE and not record.overloaded_below:
-        admission.record_answer(now)
+        admission.record_answer(now, is_root=record.spec.is_root)
+
+
+def _record_failure(admission: Admission, record: Job) -> None:
+    """Count a root request that failed by overload after it was admitted.
+
+    Calls further down count at the first service of their root request alone.
+    """
+    if record.spec.is_root:
+        admission.level.record_failure(record.arrived)
 
 
 @handles(JobCancelled)
@@ -322,7 +333,7 @@
         return []
     local = state.upstreams.get(record.spec.upstream)
     if local is not None:
-        local.admission.level.record_failure(record.arrived)
+        _record_failure(local.admission, record)
     if now >= record.deadline:
         refusal = Refusal(Reason.DEADLINE)
     else:
@@ -357,7 +368,7 @@
     if record is None or local is None or record.overloaded_below:
         return
     record.overloaded_below = True
-    local.admission.level.record_failure(record.arrived)
+    _record_failure(local.admission, record)
 
 
 def note_nested_load(
@@ -439,10 +450,10 @@
         if left_s <= 0:
             refusal = Refusal(Reason.DEADLINE)
         elif local.admission.is_too_late(record.spec.route, left_s):
-            local.admission.level.record_failure(record.arrived)
+            _record_failure(local.admission, record)
             refusal = _shed("The upstream would answer after the deadline.")
         elif local.admission.sheds_standing_queue(waiting, now):
-            local.admission.level.record_failure(record.arrived)
+            _record_failure(local.admission, record)
             refusal = _shed("The queue of the upstream stands.")
         else:
             effects += _start(state, waiting.job, record, local, now)
--- a/packages/lavenderway-core/lavenderway_core/shedding.py
+++ b/packages/lavenderway-core/lavenderway_core/shedding.py
@@ -1,10 +1,11 @@
 """Which requests an overloaded upstream refuses on arrival.
 
-The level is a margin importance and, within it, a cutoff for each workspace. Requests
-more important than the margin are admitted, less important ones refused. At the margin
-a request is admitted when the hash of its root request lies below the cutoff of its
-workspace, so that one root request meets the same fate at each hop and whole requests
-complete. Cutoffs follow from max-min fair shares of what the upstream gets done.
+The level is a margin importance and, within it, a cutoff for each workspace. It applies
+to root requests, at the first service that they reach. Requests more important than the
+margin are admitted, less important ones refused. At the margin a request is admitted
+when the hash of its root request lies below the cutoff of its workspace, so that a
+retry meets the same fate at each host. Cutoffs follow from max-min fair shares of what
+the upstream gets done.
 
 A window in which requests failed after admission, here or at calls further down, lowers
 the target by their part; a clean one raises it a little. The
--- a/tests/core/test_backlog.py
+++ b/tests/core/test_backlog.py
@@ -19,7 +19,7 @@
 ) -> Waiting:
     """Return a waiting job."""
     job = JobId(HostId("h"), Incarnation(1), ExchangeId(number), 1)
-    return Waiting(job, WorkspaceId(workspace), importance, weight, rank, 0.0)
+    return Waiting(job, WorkspaceId(workspace), importance, weight, rank, True, 0.0)
 
 
 class BacklogTest(unittest.TestCase):
--- a/tests/node/test_codec.py
+++ b/tests/node/test_codec.py
@@ -39,6 +39,7 @@
     WorkspaceId("w"),
     None,
     Importance.HIGH,
+    True,
     500,
     2,
     None,
