End rumours at a peer that knows everything

Cause: after all hosts had changed at once, 224 nodes still sent 1,683 bytes a second each of records that everybody had, for minutes. Change: a reply without differing buckets ends the rumours of the asker; replies carry rumours only where something differs. Anti-entropy stays as it was.

--- a/packages/lavenderway-core/lavenderway_core/gossip.py
+++ b/packages/lavenderway-core/lavenderway_core/gossip.py
@@ -75,7 +75,7 @@
         revision=directory.revision,
         confirmed_age_s=_confirmed_age(directory, now),
         items=tuple(items),
-        records=(*records, *_take_rumours(state)),
+        records=(*records, *(_take_rumours(state) if buckets else ())),
         buckets=tuple(buckets),
     )
     record = state.members.records.get(peer)
@@ -89,6 +89,8 @@
 ) -> Effects:
     """Take in the records of a reply, and send back those that the peer lacks."""
     state.gossip.strikes.pop(peer, None)
+    if not reply.buckets:  # the peer knows all of it already
+        state.gossip.rumours.clear()
     effects = _merge(state, reply.records, now)
     told = {record.host: record.version for record in reply.records}
     lacked = [
