Never use a kept connection with bytes left on it

Cause: an upstream that sends an answer nobody asked for had it taken for the answer to the next request on that connection: a caller got WRONG in place of its own answer (found by the new test, red at first). Ruled out: the check at release, which runs before such bytes come. Change: a kept connection is given out only when the library holds nothing of it and the socket has nothing to read, which also avoids connections that have just been closed.

--- a/packages/lavenderway-dev/lavenderway_dev/upstream_standin.py
+++ b/packages/lavenderway-dev/lavenderway_dev/upstream_standin.py
@@ -3,7 +3,8 @@
 It announces itself to the node of its host, counts executions by request id, and keeps
 every header field it has seen. Paths decide what it does: `/call` runs with the service
 time and then calls the next service through its node, as `--next` says; `/echo` returns
-the request; `/bytes/N`, `/chunks/N`, `/empty` and `/die` answer as their names say.
+the request; `/bytes/N`, `/chunks/N`, `/empty`, `/die`, `/close` and
+`/crossed` (an answer that nobody asked for follows) do as their names say.
 """
 
 from __future__ import annotations
@@ -23,6 +24,8 @@
 COPIED_FIELDS = ("Lavenderway-Context", "traceparent")
 ANNOUNCE_INTERVAL_S = 1.0
 HEALTH_LAG_S = 5.0
+UNSOLICITED = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nWRONG"
+UNSOLICITED_S = 0.01
 MAX_KEPT = 200_000
 
 
@@ -190,6 +193,9 @@
             return await self._send_chunks(request, 3, die=True)
         if path.endswith("/leak"):
             return web.Response(headers={"Lavenderway-Outcome": "not-run"}, text="x")
+        if path.endswith("/crossed") and request.transport is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(UNSOLICITED_S, request.transport.write, UNSOLICITED)
         if path.endswith("/close"):
             return _close(request)
         body = await request.read()
--- a/packages/lavenderway-node/lavenderway_node/upstream_client.py
+++ b/packages/lavenderway-node/lavenderway_node/upstream_client.py
@@ -13,6 +13,7 @@
 from yarl import URL
 
 from lavenderway_node.clock import read_clock
+from lavenderway_node.connector import CleanConnector
 from lavenderway_node.exchange import AnswerPart, AnswerStart, CallInput
 from lavenderway_node.headers import decode_fields, filter_answer
 
@@ -61,7 +62,7 @@
 
     async def open(self) -> None:
         """Open the client."""
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEP_ALIVE_S)
+        connector = CleanConnector(limit=0, keepalive_timeout=KEEP_ALIVE_S)
         self._session = aiohttp.ClientSession(
             connector=connector,
             auto_decompress=False,
--- a/tests/end_to_end/test_faulty_upstreams.py
+++ b/tests/end_to_end/test_faulty_upstreams.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 from tests.end_to_end.support import FleetCase
 
 
@@ -47,6 +49,15 @@
                 body, self.call("POST", "sk-1", "/certify/echo", body).body
             )
 
+    def test_answer_that_nobody_asked_for_reaches_nobody(self) -> None:
+        for host in ("sk-1", "rg-1"):
+            self.call("POST", host, "/certify/crossed", b"x")
+            time.sleep(0.1)
+            for number in range(20):
+                body = f"own answer {number}".encode()
+                answer = self.call("POST", host, "/certify/echo", body)
+                self.assertEqual((200, body), (answer.status, answer.body))
+
     def test_caller_that_leaves_cancels_the_lookup(self) -> None:
         self.fleet.change_upstream("sk-1", "archive-1", service_ms=3000)
         try:
