Refuse paths that resolve to another route

Cause: an upstream that resolves dot segments or repeated slashes could be reached on a route that the caller may not use, as /archive/x/../hidden. Change: dot segments are refused, routes are matched on the decoded path with repeated slashes as one. Before: served by the open route; after: 400 or the hidden route's own refusal.

--- a/packages/lavenderway-node/lavenderway_node/request_head.py
+++ b/packages/lavenderway-node/lavenderway_node/request_head.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING, NamedTuple
+from urllib.parse import unquote
 
 from lavenderway_core.context import Context, verify_context
 from lavenderway_core.directory import digest_secret
@@ -18,6 +20,7 @@
 
 BEARER = "bearer "
 MAX_TIMEOUT_DIGITS = 9
+REPEATED_SLASHES = re.compile("//+")
 
 
 class ParsedHead(NamedTuple):
@@ -43,6 +46,9 @@
         return secret
     if target_holds(request.raw_path, secret):
         return _bad("The key must come in the Authorization field only.")
+    path = _read_path(request)
+    if isinstance(path, Refusal):
+        return path
     timeout_ms = _read_timeout(request)
     if isinstance(timeout_ms, Refusal):
         return timeout_ms
@@ -51,7 +57,7 @@
         return importance
     head = RequestHead(
         method=request.method,
-        path=request.rel_url.path,
+        path=path,
         root=root,
         key_digest=digest_secret(secret) if secret else None,
         context=_read_context(request, secrets),
@@ -74,6 +80,21 @@
     return value[len(BEARER) :].strip()
 
 
+def _read_path(request: web.BaseRequest) -> str | Refusal:
+    """Return the decoded path by which routes are matched.
+
+    Upstreams may resolve dot segments and repeated slashes; a path that names another
+    route after that must not pass as this one.
+    """
+    raw = request.raw_path.partition("?")[0]
+    if not raw.startswith("/"):
+        return _bad("The request target is not a path.")
+    path = REPEATED_SLASHES.sub("/", unquote(raw))
+    if any(segment in (".", "..") for segment in path.split("/")):
+        return _bad("The path contains a dot segment.")
+    return path
+
+
 def _read_timeout(request: web.BaseRequest) -> int | Refusal | None:
     text = request.headers.get("Lavenderway-Timeout-Ms")
     if text is None:
--- a/tests/end_to_end/test_refusals.py
+++ b/tests/end_to_end/test_refusals.py
@@ -203,6 +203,31 @@
         self.assert_refused(answer, 403, "not-run")
         self.assert_nothing_ran()
 
+    def test_path_that_resolves_to_another_route(self) -> None:
+        last = self.put(
+            "routes",
+            "hidden",
+            path_prefix="/archive/hidden",
+            service="archive",
+            idempotent=True,
+            methods=["DELETE"],
+        )
+        self.fleet.wait_in_force(int(str(last["revision"])))
+        for path, status in (
+            ("/archive/x/../hidden/echo", 400),
+            ("/archive/x/%2e%2e/hidden/echo", 400),
+            ("/archive/./hidden/echo", 400),
+            ("/archive//hidden/echo", 405),
+            ("/archive%2Fhidden/echo", 405),
+        ):
+            answer = self.raw(
+                f"GET {path} HTTP/1.1",
+                "Host: x",
+                f"Authorization: Bearer {self.secret}",
+            )
+            self.assertIn(f" {status} ".encode(), answer[:20], path)
+        self.assert_nothing_ran()
+
     def test_open_route(self) -> None:
         last = self.put(
             "routes",
