--- a/packages/lavenderway-core/lavenderway_core/entry.py
+++ b/packages/lavenderway-core/lavenderway_core/entry.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from lavenderway_core import hosting, tokens
+from lavenderway_core import hosting, nesting, tokens
 from lavenderway_core.balancer import Standing
 from lavenderway_core.claims import claim_row
 from lavenderway_core.effects import (
@@ -75,7 +75,7 @@
         passed_retries=passed,
     )
     state.exchanges[event.exchange] = exchange
-    hosting.begin_nested(state, call.parent, now)
+    nesting.begin_nested(state, call.parent, now)
     if not call.is_root or call.workspace is None or call.route.open_to_all:
         return send_attempt(state, event.exchange, now)
     decision = tokens.take_token(state, event.exchange, call.workspace, now)
@@ -346,7 +346,7 @@
     """Refuse an exchange and forget it."""
     exchange = state.exchanges[number]
     if refusal.reason in _OVERLOAD_REASONS:
-        hosting.note_nested_overload(state, exchange.call.parent)
+        nesting.note_nested_overload(state, exchange.call.parent)
     _end(state, number, exchange, now)
     fields: dict[str, object] = {
         "root": exchange.call.root,
@@ -407,7 +407,7 @@
     now: float,
 ) -> None:
     state.balancer.record_report(upstream, exchange.call.workspace, load, now)
-    hosting.note_nested_load(state, exchange.call.parent, load)
+    nesting.note_nested_load(state, exchange.call.parent, load)
 
 
 def _end(state: NodeState, number: ExchangeId, exchange: Exchange, now: float) -> None:
@@ -417,7 +417,7 @@
     if waiting and exchange.call.workspace is not None:
         tokens.forget_waiting(state, number, exchange.call.workspace)
     del state.exchanges[number]
-    hosting.end_nested(state, exchange.call.parent, now)
+    nesting.end_nested(state, exchange.call.parent, now)
 
 
 def _over_rate(retry_after_s: float) -> Refusal:
--- a/packages/lavenderway-core/lavenderway_core/hosting.py
+++ b/packages/lavenderway-core/lavenderway_core/hosting.py
@@ -341,46 +341,6 @@
     return _drop_and_refuse(state, event.job, refusal, local, now)
 
 
-def begin_nested(state: NodeState, parent: Context | None, now: float) -> None:
-    """Note that an upstream of this host waits for a call of its own."""
-    record = _parent_job(state, parent)
-    if record is None:
-        return
-    if not record.nested:
-        record.nested_since = now
-    record.nested += 1
-
-
-def end_nested(state: NodeState, parent: Context | None, now: float) -> None:
-    """Note that a call of an upstream of this host has ended."""
-    record = _parent_job(state, parent)
-    if record is None or not record.nested:
-        return
-    record.nested -= 1
-    if not record.nested:
-        record.nested_s += now - record.nested_since
-
-
-def note_nested_overload(state: NodeState, parent: Context | None) -> None:
-    """Count a job whose own call was refused by overload further down, once."""
-    record = _parent_job(state, parent)
-    local = None if record is None else state.upstreams.get(record.spec.upstream)
-    if record is None or local is None or record.overloaded_below:
-        return
-    record.overloaded_below = True
-    _record_failure(local.admission, record)
-
-
-def note_nested_load(
-    state: NodeState, parent: Context | None, load: LoadReport
-) -> None:
-    """Pass the pressure further down on to the upstream whose call it answers."""
-    record = _parent_job(state, parent)
-    local = None if record is None else state.upstreams.get(record.spec.upstream)
-    if local is not None:
-        local.admission.record_below(load.pressure)
-
-
 def load_of(state: NodeState, job: JobId, now: float) -> LoadReport | None:
     """Return the load of the upstream that a job is for."""
     record = state.jobs.get(job)
@@ -411,13 +371,6 @@
     return effects
 
 
-def _parent_job(state: NodeState, parent: Context | None) -> Job | None:
-    if parent is None or parent.signer != state.host:
-        return None
-    job = state.jobs_by_number.get(parent.parent)
-    return None if job is None else state.jobs.get(job)
-
-
 def _take_number(state: NodeState, job: JobId) -> ExchangeId:
     number = ExchangeId(state.next_job)
     state.next_job += 1
