Bound the queue by what starts within the longest wait

Cause: eight jobs waited in front of an upstream that starts two within the quarter second that each may wait, and were shed then. Change: the queue is as long as what the limit starts in that time.

--- a/packages/lavenderway-core/lavenderway_core/admission.py
+++ b/packages/lavenderway-core/lavenderway_core/admission.py
@@ -21,6 +21,7 @@
 QUEUE_MAX_WAIT_S = 0.25
 QUEUE_MIN_LENGTH = 8
 QUEUE_PER_LIMIT = 2.0
+QUEUE_SHORTEST = 2
 
 
 class LoadReport(NamedTuple):
@@ -218,4 +219,10 @@
 
     @property
     def _queue_length(self) -> int:
-        return max(QUEUE_MIN_LENGTH, int(self.limiter.limit * QUEUE_PER_LIMIT))
+        """Jobs that may wait: no more than start within the longest wait."""
+        longest = max(QUEUE_MIN_LENGTH, int(self.limiter.limit * QUEUE_PER_LIMIT))
+        usual_s = max(self._usual_s.values(), default=0.0)
+        if not usual_s:
+            return longest
+        starts = int(self.limiter.limit / usual_s * QUEUE_MAX_WAIT_S)
+        return max(QUEUE_SHORTEST, min(longest, starts))
