--- a/packages/lavenderway-core/lavenderway_core/admission.py
+++ b/packages/lavenderway-core/lavenderway_core/admission.py
@@ -16,6 +16,7 @@
 STALL_RATIO = 10.0  # silence relative to the usual time of an answer
 USUAL_GAIN = 0.1
 TOO_LATE_RATIO = 1.0  # of the usual time of an answer
+ESTIMATE_MAX_AGE_S = 0.25
 QUEUE_TARGET_S = 0.05
 QUEUE_INTERVAL_S = 0.1
 QUEUE_MAX_WAIT_S = 0.25
@@ -82,6 +83,7 @@
         self.running: dict[JobId, Running] = {}
         self._last_answer = now
         self._usual_s: dict[RouteId, float] = {}
+        self._measured_at: dict[RouteId, float] = {}
         self._above_target_since: float | None = None
         self.level = ShedLevel(now=now)
         self._below = 0.0
@@ -154,6 +156,7 @@
         total_s = now - begun.started
         usual_s = self._usual_s.setdefault(route, total_s)
         self._usual_s[route] = usual_s + (total_s - usual_s) * USUAL_GAIN
+        self._measured_at[route] = now
         sample = Sample(route, begun.started, total_s, own_s, begun.in_flight)
         self.limiter.record_time(sample, now)
 
@@ -182,9 +185,18 @@
         )
         return admitted
 
-    def is_too_late(self, route: RouteId, left_s: float) -> bool:
-        """Tell whether a request could not be answered in the time it has left."""
-        return left_s < self._usual_s.get(route, 0.0) * TOO_LATE_RATIO
+    def is_too_late(self, route: RouteId, left_s: float, now: float) -> bool:
+        """Tell whether a request could not be answered in the time it has left.
+
+        An estimate that nothing has renewed for a while lets one request through, so
+        that an upstream that is fast again is found out.
+        """
+        if left_s >= self._usual_s.get(route, 0.0) * TOO_LATE_RATIO:
+            return False
+        if now - self._measured_at.get(route, now) < ESTIMATE_MAX_AGE_S:
+            return True
+        self._measured_at[route] = now
+        return False
 
     def report(self, workspace: WorkspaceId | None, now: float) -> LoadReport:
         """Return the load to send along with a reply to a workspace's request."""
--- a/packages/lavenderway-core/lavenderway_core/hosting.py
+++ b/packages/lavenderway-core/lavenderway_core/hosting.py
@@ -79,7 +79,7 @@
     )
     waiting = _waiting(state, job, record, now)
     left_s = spec.remaining_ms / 1000
-    if local.admission.is_too_late(spec.route, left_s):
+    if local.admission.is_too_late(spec.route, left_s, now):
         state.jobs_by_number.pop(record.number)
         detail = "The upstream would answer after the deadline."
         return _refuse(state, job, _shed(detail), local, now, spec.workspace)
@@ -402,7 +402,7 @@
         left_s = record.deadline - now
         if left_s <= 0:
             refusal = Refusal(Reason.DEADLINE)
-        elif local.admission.is_too_late(record.spec.route, left_s):
+        elif local.admission.is_too_late(record.spec.route, left_s, now):
             _record_failure(local.admission, record)
             refusal = _shed("The upstream would answer after the deadline.")
         elif local.admission.sheds_standing_queue(waiting, now):
--- a/packages/lavenderway-node/lavenderway_node/links.py
+++ b/packages/lavenderway-node/lavenderway_node/links.py
@@ -16,7 +16,7 @@
     JobArrived,
     JobSpec,
 )
-from lavenderway_core.ids import HostId, JobId
+from lavenderway_core.ids import HostId, JobId, RootId
 from lavenderway_core.messages import (
     ControlMessage,
     Envelope,
@@ -156,7 +156,7 @@
             return
         self._queue(peer, address, PendingControl(message))
 
-    async def explain(self, peer: HostId, root: str) -> ExplainReply:
+    async def explain(self, peer: HostId, root: RootId) -> ExplainReply:
         """Ask a peer what it did with a root request.
 
         Raises:
@@ -169,7 +169,7 @@
         future: asyncio.Future[ExplainReply] = loop.create_future()
         self._explains[number] = future
         record = self._node.state.members.records.get(peer)
-        request = ExplainRequest(number, root)  # type: ignore[arg-type]
+        request = ExplainRequest(number, root)
         link = self._proved.get(peer)
         if link is not None:
             link.send(request)
--- a/packages/lavenderway-node/lavenderway_node/operators.py
+++ b/packages/lavenderway-node/lavenderway_node/operators.py
@@ -10,7 +10,7 @@
 
 from aiohttp import web
 from lavenderway_core.events import ConfigWritten
-from lavenderway_core.ids import HostId, Revision
+from lavenderway_core.ids import HostId, Revision, RootId
 from lavenderway_core.resources import Kind
 
 from lavenderway_node.clock import read_clock
@@ -42,6 +42,7 @@
 HEARTBEAT_S = 10.0
 STATUS_WAIT_S = 1.0
 _KINDS = {kind.value: kind for kind in Kind}
+_BAD_VERSION = -1
 _STATUSES = {
     WriteVerdict.DONE: 200,
     WriteVerdict.INVALID: 422,
@@ -276,7 +277,7 @@
         return _json({"items": items})
 
     async def _explain(self, request: web.Request) -> web.Response:
-        root = request.match_info["root"]
+        root = RootId(request.match_info["root"])
         host = HostId(root.rsplit(".", 2)[0])
         records = self._node.logs.find(root)
         silent = []
@@ -289,9 +290,6 @@
         return _json({"root": root, "records": records, "silent_hosts": silent})
 
 
-_BAD_VERSION = -1
-
-
 def _kind_of(request: web.Request) -> Kind | None:
     return _KINDS.get(request.match_info["kind"])
 
--- a/packages/lavenderway-node/lavenderway_node/registry.py
+++ b/packages/lavenderway-node/lavenderway_node/registry.py
@@ -8,7 +8,7 @@
 from lavenderway_core.effects import Log, Part
 from lavenderway_core.gossip import JOIN_ROUNDS
 from lavenderway_core.membership import HostState, bucket_of
-from lavenderway_core.table import Write
+from lavenderway_core.table import TransactOutcome, Write
 from returns.result import Success
 
 if TYPE_CHECKING:
@@ -49,7 +49,7 @@
     shard = bucket_of(own.host) % SHARDS
     write = Write(f"{HOSTS_PREFIX}{shard}/{own.host}", value, REGISTER_TTL_S)
     settled = await node.table.transact((), (write,))
-    return settled.outcome.value == "committed"
+    return settled.outcome is TransactOutcome.COMMITTED
 
 
 async def _learn_seeds(node: Node) -> bool:
--- a/packages/lavenderway-node/lavenderway_node/resource_view.py
+++ b/packages/lavenderway-node/lavenderway_node/resource_view.py
@@ -4,11 +4,11 @@
 
 from typing import TYPE_CHECKING, Any
 
+from lavenderway_core.ids import Revision
 from lavenderway_core.membership import HostState, UpstreamState
 from lavenderway_core.resources import Kind
 
 if TYPE_CHECKING:
-    from lavenderway_core.ids import Revision
     from lavenderway_core.membership import HostRecord, UpstreamRecord
     from lavenderway_core.state import NodeState
 
@@ -66,7 +66,7 @@
     """Return all resources of a kind that operators have written."""
     return [
         view_item(state, item.kind, item.name, item.document, item.revision, now)
-        for item in state.directory.items_since(ZERO)
+        for item in state.directory.items_since(Revision(0))
         if item.kind is kind and item.document is not None
     ]
 
@@ -174,6 +174,3 @@
         },
         "stalled": local.admission.is_stalled(now),
     }
-
-
-ZERO: Any = 0
