--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -156,3 +156,4 @@
             self.assertEqual(200, answer.status, answer.body)
         finally:
             self.fleet.set_faults(down=False)
+        self.fleet.wait_serving({"archive", "certify"})
