Refuse keys that are withdrawn, not keys that are not known yet

Cause: found while reading: a host node behind its entry node in revisions refused a key that had just been made, and the entry node took that as final: a wrong 401 for a good request, here and for calls down the chain. Change: only a key that is known to be deleted is refused behind the entry node. Two new tests were red before (RefuseJob in place of RunJob, NO_KEY in place of a call) and are green now; a mutant guards them.

--- a/packages/lavenderway-core/lavenderway_core/directory.py
+++ b/packages/lavenderway-core/lavenderway_core/directory.py
@@ -89,6 +89,14 @@
             return None
         return found
 
+    def is_withdrawn(self, key: KeyId) -> bool:
+        """Tell whether a key is known to be deleted.
+
+        A key that is not known at all may be newer than this node's revision.
+        """
+        item = self._items.get((Kind.KEY, key))
+        return item is not None and item.document is None
+
     def route_for(self, path: str) -> RouteSpec | None:
         """Return the route with the longest prefix of `path`."""
         return next(self._matches(path), None)
--- a/packages/lavenderway-core/lavenderway_core/entry.py
+++ b/packages/lavenderway-core/lavenderway_core/entry.py
@@ -62,7 +62,7 @@
 def take_request(state: NodeState, event: RequestArrived, now: float) -> Effects:
     """Begin an exchange: count it against the rate, then send it on."""
     call = event.call
-    if call.key is not None and call.key not in state.directory.keys:
+    if call.key is not None and state.directory.is_withdrawn(call.key):
         return [Refuse(event.exchange, Refusal(Reason.NO_KEY))]
     if now >= call.deadline:
         return [Refuse(event.exchange, Refusal(Reason.DEADLINE))]
@@ -325,7 +325,7 @@
     effects: Effects = []
     for number, exchange in list(state.exchanges.items()):
         key = exchange.call.key
-        if key is None or key in state.directory.keys:
+        if key is None or not state.directory.is_withdrawn(key):
             continue
         if exchange.cut_at is None:
             exchange.cut_at = now + KEY_GRACE_S
--- a/packages/lavenderway-core/lavenderway_core/hosting.py
+++ b/packages/lavenderway-core/lavenderway_core/hosting.py
@@ -65,7 +65,7 @@
         return _refuse(state, job, Refusal(Reason.NO_UPSTREAM), None, now)
     if state.lifecycle.draining or is_draining(state, local):
         return _refuse(state, job, Refusal(Reason.DRAINING), None, now)
-    if spec.key is not None and KeyId(spec.key) not in state.directory.keys:
+    if spec.key is not None and state.directory.is_withdrawn(KeyId(spec.key)):
         return _refuse(state, job, Refusal(Reason.NO_KEY), None, now)
     if local.admission.is_stalled(now):
         detail = "The upstream has stopped answering."
--- a/packages/lavenderway-core/lavenderway_core/identification.py
+++ b/packages/lavenderway-core/lavenderway_core/identification.py
@@ -8,7 +8,7 @@
 from lavenderway_core.ids import HostId, KeyId, RootId, WorkspaceId
 from lavenderway_core.importance import Importance
 from lavenderway_core.refusal import Reason, Refusal
-from lavenderway_core.resources import KeySpec, RouteSpec
+from lavenderway_core.resources import RouteSpec
 
 if TYPE_CHECKING:
     from lavenderway_core.directory import Directory
@@ -69,6 +69,13 @@
     parent: Context | None
 
 
+class Payer(NamedTuple):
+    """Workspace that pays for a request, and the key that showed it."""
+
+    workspace: WorkspaceId
+    key: KeyId
+
+
 def identify(
     directory: Directory, head: RequestHead, host: HostId, now: float
 ) -> Call | Refusal:
@@ -91,41 +98,50 @@
         return Refusal(Reason.NO_ROUTE)
     if route.methods and head.method not in route.methods:
         return Refusal(Reason.METHOD)
-    key = _present_key(directory, head)
-    refusal = _check_key(directory, route, key, now)
+    payer = _find_payer(directory, head)
+    refusal = _check_payer(directory, route, payer, now)
     if refusal is not None:
         return refusal
     if len(head.idempotency_key or "") > MAX_IDEMPOTENCY_KEY_CHARS:
         return Refusal(Reason.BAD_REQUEST, detail="Idempotency-Key is too long.")
-    return _build_call(route, head, key, host, now)
+    return _build_call(route, head, payer, host, now)
+
 
+def _find_payer(directory: Directory, head: RequestHead) -> Payer | None:
+    """Return who pays for a request, None without a valid key.
 
-def _present_key(directory: Directory, head: RequestHead) -> KeySpec | None:
-    if head.context is not None:
-        named = head.context.key
-        return None if named is None else directory.keys.get(named)
-    if head.key_digest is None:
+    A context names a key that a node of the fleet has checked, so it is good unless
+    the key is known to be withdrawn, even if this node does not know the key yet.
+    """
+    context = head.context
+    if context is not None:
+        if context.key is None or context.workspace is None:
+            return None
+        withdrawn = directory.is_withdrawn(context.key)
+        return None if withdrawn else Payer(context.workspace, context.key)
+    key = None if head.key_digest is None else directory.key_for(head.key_digest)
+    if key is None or key.workspace not in directory.workspaces:
         return None
-    return directory.key_for(head.key_digest)
+    return Payer(key.workspace, key.name)
 
 
-def _check_key(
-    directory: Directory, route: RouteSpec, key: KeySpec | None, now: float
+def _check_payer(
+    directory: Directory, route: RouteSpec, payer: Payer | None, now: float
 ) -> Refusal | None:
-    workspace = None if key is None else directory.workspaces.get(key.workspace)
-    if key is None or workspace is None:
-        return None if route.open_to_all else Refusal(Reason.NO_KEY)
     if route.open_to_all:
         return None
-    if route.workspaces and key.workspace not in route.workspaces:
+    if payer is None:
+        return Refusal(Reason.NO_KEY)
+    if route.workspaces and payer.workspace not in route.workspaces:
         return Refusal(Reason.WRONG_WORKSPACE)
-    if directory.refuses_keys(workspace, now):
+    workspace = directory.workspaces.get(payer.workspace)
+    if workspace is not None and directory.refuses_keys(workspace, now):
         return Refusal(Reason.KEY_UNCONFIRMED, retry_after_s=CONFIRMATION_WAIT_S)
     return None
 
 
 def _build_call(
-    route: RouteSpec, head: RequestHead, key: KeySpec | None, host: HostId, now: float
+    route: RouteSpec, head: RequestHead, payer: Payer | None, host: HostId, now: float
 ) -> Call:
     context = head.context
     budget_ms = route.timeout_ms
@@ -142,8 +158,8 @@
         route=route,
         method=head.method,
         root=head.root if context is None else context.root,
-        workspace=None if key is None else key.workspace,
-        key=None if key is None else key.name,
+        workspace=None if payer is None else payer.workspace,
+        key=None if payer is None else payer.key,
         is_root=context is None,
         importance=importance,
         deadline=deadline,
--- /dev/null
+++ b/tests/core/test_hosting.py
@@ -0,0 +1,92 @@
+"""Tests of the node of an upstream's host."""
+
+from __future__ import annotations
+
+import unittest
+
+from lavenderway_core import effects as fx
+from lavenderway_core import reduce
+from lavenderway_core.directory import digest_secret
+from lavenderway_core.events import JobArrived, JobSpec, UpstreamAnnounced
+from lavenderway_core.ids import (
+    ExchangeId,
+    FailureDomainId,
+    HostId,
+    Incarnation,
+    JobId,
+    Revision,
+    RouteId,
+    ServiceId,
+    UpstreamId,
+    WorkspaceId,
+)
+from lavenderway_core.importance import Importance
+from lavenderway_core.refusal import Reason
+from lavenderway_core.resources import Item, Kind, SpecDocument
+from lavenderway_core.state import NodeState, create_state
+
+UPSTREAM = UpstreamId("u")
+SERVICE = ServiceId("s")
+
+
+def build_state() -> NodeState:
+    """Return the state of a node with one upstream."""
+    state = create_state(
+        host=HostId("h"),
+        failure_domain=FailureDomainId("a"),
+        address="h:1",
+        incarnation=Incarnation(1),
+        seed=1,
+        seeds=(),
+        now=0.0,
+    )
+    reduce(state, UpstreamAnnounced(UPSTREAM, SERVICE, "u:80", draining=False), 0.0)
+    return state
+
+
+def write_key(state: NodeState, revision: int, document: SpecDocument | None) -> None:
+    """Put a revision of the key `k` into force."""
+    item = Item(Kind.KEY, "k", Revision(revision), document)
+    state.directory.apply(state.directory.revision, Revision(revision), [item])
+
+
+def arrival(number: int) -> JobArrived:
+    """Return an attempt from another node, for the key `k`."""
+    job = JobId(HostId("entry"), Incarnation(1), ExchangeId(number), 1)
+    spec = JobSpec(
+        SERVICE,
+        UPSTREAM,
+        RouteId("r"),
+        f"root-{number}",
+        WorkspaceId("w"),
+        "k",
+        Importance.NORMAL,
+        True,
+        1000,
+        0,
+        None,
+        "",
+    )
+    return JobArrived(job, spec)
+
+
+class HostingTest(unittest.TestCase):
+    """Keys that this node knows, does not know yet, or knows to be withdrawn."""
+
+    def test_key_that_is_not_known_here_yet(self) -> None:
+        effects = reduce(build_state(), arrival(1), 1.0)
+        self.assertEqual([fx.RunJob], [type(each) for each in effects])
+
+    def test_known_key(self) -> None:
+        state = build_state()
+        write_key(state, 1, {"workspace": "w", "digest": digest_secret("s")})
+        effects = reduce(state, arrival(1), 1.0)
+        self.assertEqual([fx.RunJob], [type(each) for each in effects])
+
+    def test_withdrawn_key(self) -> None:
+        state = build_state()
+        write_key(state, 1, {"workspace": "w", "digest": digest_secret("s")})
+        write_key(state, 2, None)
+        effects = reduce(state, arrival(1), 1.0)
+        refused = [each for each in effects if isinstance(each, fx.RefuseJob)]
+        self.assertEqual([Reason.NO_KEY], [each.refusal.reason for each in refused])
--- a/tests/core/test_identification.py
+++ b/tests/core/test_identification.py
@@ -119,6 +119,11 @@
         head = build_head(context=build_context(Importance.HIGH), key_digest=None)
         self.assertIs(Reason.NO_KEY, self.reason(head, directory, NOW))
 
+    def test_context_of_a_key_that_is_not_known_here_yet(self) -> None:
+        context = build_context(Importance.HIGH)._replace(key=KeyId("new"))
+        call = self.call(build_head(context=context, key_digest=None))
+        self.assertEqual(("new", "coulee"), (call.key, call.workspace))
+
     def test_cut_off_domain_serves_or_refuses_as_set(self) -> None:
         serving = build_directory()
         self.call(build_head(), serving)
