Take test ports below the range of outgoing connections

Cause: with two whole test runs at once one node ended with code 1 at its start: its port, free when it was chosen from the system's own range, had been taken by an outgoing connection or the other run. Change: ports come from 10,000 to 32,000.

--- a/packages/lavenderway-dev/lavenderway_dev/fleet.py
+++ b/packages/lavenderway-dev/lavenderway_dev/fleet.py
@@ -22,6 +22,8 @@
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.05
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
 
 
 class UpstreamPlan(NamedTuple):
@@ -339,7 +341,11 @@
 
 
 class _FreePorts:
-    """Hands out ports that are free, each once."""
+    """Hands out ports that are free, each once.
+
+    They lie below the range from which the system takes the ports of outgoing
+    connections, so that none of these takes a port before its listener opens.
+    """
 
     def __init__(self) -> None:
         self._given: set[int] = set()
@@ -347,14 +353,22 @@
     def take(self) -> int:
         """Return a free port."""
         while True:
-            with socket.socket() as probe:
-                probe.bind(("127.0.0.1", 0))
-                port = int(probe.getsockname()[1])
-            if port not in self._given:
+            port = FIRST_PORT + secrets.randbelow(LAST_PORT - FIRST_PORT)
+            if port not in self._given and _is_free(port):
                 self._given.add(port)
                 return port
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
 def send(
     method: str,
     url: str,
