Wait for restarted nodes in place of a fixed time

Cause: with two whole test runs at once the rolling stop was red (172 of 174): a node took longer to start than the second that the test gave it, and the next test found it closed. Ruled out: requests cut by the stop; none was. Change: tests go on once every node knows all hosts again.

--- a/tests/end_to_end/test_failures.py
+++ b/tests/end_to_end/test_failures.py
@@ -15,6 +15,7 @@
 KEY_BOUND_S = 5.0
 LEAVE_BOUND_S = 5.0
 ROLLS = 3
+SERVICES = {"archive", "certify"}
 
 
 def four_hosts() -> list[HostPlan]:
@@ -129,7 +130,7 @@
             self.fleet.wait_node("h-3")
             time.sleep(0.7)
             self.fleet.start_node("h-3")
-            time.sleep(1.5)
+            self.fleet.wait_serving(SERVICES)
         answers = [each for caller in callers for each in caller.end()]
         self.assertGreater(sum(a.status == 200 for _, a in answers), 100)
         self.assert_each_key_ran_once(answers)
@@ -273,7 +274,7 @@
                 self.fleet.signal_node(name, signal.SIGTERM)
                 self.assertEqual(0, self.fleet.wait_node(name))
                 self.fleet.start_node(name)
-                time.sleep(1.0)
+                self.fleet.wait_serving(SERVICES)
         answers = [each for caller in callers for each in caller.end()]
         bad = Counter(a.status for _, a in answers if a.status != 200)
         self.assertEqual({}, dict(bad))
@@ -298,6 +299,7 @@
             thread.join(10)
         self.assertEqual(0, self.fleet.wait_node("h-3"))
         self.fleet.start_node("h-3")
+        self.fleet.wait_serving(SERVICES)
         self.fleet.change_upstream("h-1", "archive-1", service_ms=2)
         self.assertEqual([200] * 8, [each.status for each in results])
         self.assertEqual({200000}, {len(each.body) for each in results})
