--- a/tests/core/test_hosting.py
+++ b/tests/core/test_hosting.py
@@ -7,7 +7,14 @@
 from lavenderway_core import effects as fx
 from lavenderway_core import reduce
 from lavenderway_core.directory import digest_secret
-from lavenderway_core.events import JobArrived, JobSpec, UpstreamAnnounced
+from lavenderway_core.events import (
+    JobArrived,
+    JobFinished,
+    JobSpec,
+    RunResult,
+    TransactSettled,
+    UpstreamAnnounced,
+)
 from lavenderway_core.ids import (
     ExchangeId,
     FailureDomainId,
@@ -24,6 +31,7 @@
 from lavenderway_core.refusal import Reason
 from lavenderway_core.resources import Item, Kind, SpecDocument
 from lavenderway_core.state import NodeState, create_state
+from lavenderway_core.table import TransactOutcome
 
 UPSTREAM = UpstreamId("u")
 SERVICE = ServiceId("s")
@@ -90,3 +98,24 @@
         effects = reduce(state, arrival(1), 1.0)
         refused = [each for each in effects if isinstance(each, fx.RefuseJob)]
         self.assertEqual([Reason.NO_KEY], [each.refusal.reason for each in refused])
+
+
+class ClaimReleaseTest(unittest.TestCase):
+    """A claim whose request never ran is given back."""
+
+    def test_caller_that_left_during_the_claim(self) -> None:
+        state = build_state()
+        plain = arrival(1)
+        event = plain._replace(spec=plain.spec._replace(claim="claims/w/r/x"))
+        (claiming,) = reduce(state, event, 1.0)
+        assert isinstance(claiming, fx.Transact)
+        settled = TransactSettled(
+            claiming.ticket, TransactOutcome.COMMITTED, {"claims/w/r/x": 9}, (), 1.0
+        )
+        (run,) = reduce(state, settled, 1.1)
+        assert isinstance(run, fx.RunJob)
+        finished = JobFinished(run.job, RunResult.NOT_STARTED, answered=False)
+        effects = reduce(state, finished, 1.2)
+        released = [each for each in effects if isinstance(each, fx.Transact)]
+        self.assertEqual([("claims/w/r/x", 9)], list(released[0].conditions))
+        self.assertIsNone(released[0].writes[0].value)
