--- a/packages/lavenderway-core/lavenderway_core/allotments.py
+++ b/packages/lavenderway-core/lavenderway_core/allotments.py
@@ -11,7 +11,6 @@
 
 from __future__ import annotations
 
-from enum import Enum
 from typing import TYPE_CHECKING, NamedTuple
 
 from lavenderway_core.bucket import TokenBucket
@@ -34,15 +33,6 @@
 GRANTED_ROW = "granted"
 
 
-class LeaseState(Enum):
-    """Life cycle of an allotment on its holder."""
-
-    REQUESTED = "requested"
-    HELD = "held"
-    LAPSED = "lapsed"
-    RELEASED = "released"
-
-
 class AllotmentId(NamedTuple):
     """Place of an allotment: workspace, failure domain and number within it."""
 
--- a/packages/lavenderway-core/lavenderway_core/hosting.py
+++ b/packages/lavenderway-core/lavenderway_core/hosting.py
@@ -70,23 +70,21 @@
     if local.admission.is_stalled(now):
         detail = "The upstream has stopped answering."
         return _refuse(state, job, _shed(detail), local, now)
-    record = Job(
-        spec=spec,
-        number=_take_number(state, job),
-        deadline=now + spec.remaining_ms / 1000,
-        phase=JobPhase.QUEUED,
-        arrived=now,
-    )
-    waiting = _waiting(state, job, record, now)
     left_s = spec.remaining_ms / 1000
     if local.admission.is_too_late(spec.route, left_s, now):
-        state.jobs_by_number.pop(record.number)
         detail = "The upstream would answer after the deadline."
         return _refuse(state, job, _shed(detail), local, now, spec.workspace)
+    waiting = _waiting(state, job, spec, now)
     if not local.admission.admits(waiting, now):
-        state.jobs_by_number.pop(record.number)
         detail = "The service is overloaded; this request is over the level."
         return _refuse(state, job, _shed(detail), local, now, spec.workspace)
+    record = Job(
+        spec=spec,
+        number=_take_number(state, job),
+        deadline=now + left_s,
+        phase=JobPhase.QUEUED,
+        arrived=now,
+    )
     state.jobs[job] = record
     return _offer(state, job, record, waiting, local, now)
 
@@ -112,8 +110,7 @@
     return effects
 
 
-def _waiting(state: NodeState, job: JobId, record: Job, now: float) -> Waiting:
-    spec = record.spec
+def _waiting(state: NodeState, job: JobId, spec: JobSpec, now: float) -> Waiting:
     weight = 1.0
     if spec.workspace is not None:
         workspace = state.directory.workspaces.get(spec.workspace)
--- a/packages/lavenderway-core/lavenderway_core/leasing.py
+++ b/packages/lavenderway-core/lavenderway_core/leasing.py
@@ -81,7 +81,7 @@
         if name is not None:
             state.leasing.busy.discard(name)
         return []
-    observe_rows(state, event.rows, event.asked_at, now)
+    observe_rows(state, event.rows, now)
     plan = _plan(state, workspace, event.rows, now)
     if not plan.pending:
         state.leasing.busy.discard(name)
@@ -143,9 +143,7 @@
     return gossip.announce(state)
 
 
-def observe_rows(
-    state: NodeState, rows: tuple[Row, ...], asked_at: float, now: float
-) -> None:
+def observe_rows(state: NodeState, rows: tuple[Row, ...], now: float) -> None:
     """Note since when each row has been at its version, on this node's clock.
 
     The row may have been written at any time up to the answer, so it counts from then.
--- a/packages/lavenderway-core/lavenderway_core/table.py
+++ b/packages/lavenderway-core/lavenderway_core/table.py
@@ -52,10 +52,7 @@
 
     ALLOTMENTS = "allotments"
     RELEASE = "release"
-    CONFIG_HEAD = "config-head"
     CONFIG_ITEMS = "config-items"
-    HOSTS = "hosts"
-    REGISTRATION = "registration"
     CLAIM = "claim"
     CLAIM_RESULT = "claim-result"
 
--- a/packages/lavenderway-node/lavenderway_node/operators.py
+++ b/packages/lavenderway-node/lavenderway_node/operators.py
@@ -39,7 +39,6 @@
 
 MAX_DOCUMENT_BYTES = 256 * 1024
 WATCH_INTERVAL_S = 0.5
-HEARTBEAT_S = 10.0
 STATUS_WAIT_S = 1.0
 _KINDS = {kind.value: kind for kind in Kind}
 _BAD_VERSION = -1
