Add the relay and the platform adapter, a first whole path

Cause: today's data path spends 430 to 560 us of processor time on a hop and knows nothing of the users' platform. Change: a relay package on plain protocol callbacks with its decisions as pure modules, and platform/ that translates settings, configuration, heartbeats and the store.

--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,13 @@
 VENV := .venv
 PYTHON := $(VENV)/bin/python
-PACKAGES := lavenderway-core lavenderway-node lavenderway-cli lavenderway-dev
-EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p))
+PACKAGES := packages/lavenderway-core packages/lavenderway-node packages/lavenderway-cli packages/lavenderway-relay platform packages/lavenderway-dev
+EDITABLE := $(foreach p,$(PACKAGES),-e $(p))
 
 .PHONY: install quickstart test check bench format
 
 install: $(VENV)/.installed
 
-$(VENV)/.installed: constraints.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/.installed: constraints.txt $(wildcard packages/*/pyproject.toml platform/pyproject.toml)
 	python3 -m venv $(VENV)
 	$(PYTHON) -m pip install --quiet -c constraints.txt $(EDITABLE)
 	touch $@
--- a/packages/lavenderway-core/lavenderway_core/retries.py
+++ b/packages/lavenderway-core/lavenderway_core/retries.py
@@ -9,32 +9,51 @@
 
 
 class RetryBudget:
-    """Allows retries as a fraction of successes, with a small constant rate.
+    """Allows retries as a fraction of requests, with a small constant rate.
 
     Args:
         now: Present time in seconds.
+        ratio: Retries earned by each request.
+        min_per_s: Retries earned in each second without any request.
+        max_balance: Retries that can be saved up.
 
     """
 
-    __slots__ = ("_balance", "_updated")
+    __slots__ = ("_balance", "_max_balance", "_min_per_s", "_ratio", "_updated")
 
-    def __init__(self, *, now: float) -> None:
-        self._balance = MIN_RETRIES_PER_S
+    def __init__(
+        self,
+        *,
+        now: float,
+        ratio: float = RETRY_RATIO,
+        min_per_s: float = MIN_RETRIES_PER_S,
+        max_balance: float = MAX_BALANCE,
+    ) -> None:
+        self._balance = min_per_s
         self._updated = now
+        self._ratio = ratio
+        self._min_per_s = min_per_s
+        self._max_balance = max_balance
 
     def record_success(self) -> None:
         """Earn a fraction of a retry."""
-        self._balance = min(MAX_BALANCE, self._balance + RETRY_RATIO)
+        self._balance = min(self._max_balance, self._balance + self._ratio)
 
-    def take(self, now: float) -> bool:
-        """Take one retry; return whether the budget allows it."""
+    def take(self, now: float, *, cost: float = 1.0) -> bool:
+        """Take retries; return whether the budget allows them.
+
+        Args:
+            now: Present time in seconds.
+            cost: Executions that the retry leads to.
+
+        """
         elapsed = max(0.0, now - self._updated)
         self._updated = now
-        earned = elapsed * MIN_RETRIES_PER_S
-        self._balance = min(MAX_BALANCE, self._balance + earned)
-        if self._balance < 1:
+        earned = elapsed * self._min_per_s
+        self._balance = min(self._max_balance, self._balance + earned)
+        if self._balance < cost:
             return False
-        self._balance -= 1
+        self._balance -= cost
         return True
 
 
--- a/packages/lavenderway-dev/lavenderway_dev/baseline_node.py
+++ b/packages/lavenderway-dev/lavenderway_dev/baseline_node.py
@@ -67,6 +67,11 @@
         return False
 
 
+def _allow(self: RetryBudget, now: float, *, cost: float = 1.0) -> bool:
+    """Allow every retry."""
+    return True
+
+
 def main() -> None:
     """Run a node with the policy that the environment names."""
     policies: dict[str, type[Admission]] = {
@@ -76,7 +81,7 @@
     name = os.environ[POLICY_VARIABLE]
     setattr(upkeep, "Admission", policies[name])  # noqa: B010
     if name == "pass-through":
-        RetryBudget.take = lambda self, now: True  # type: ignore[method-assign]
+        RetryBudget.take = _allow  # type: ignore[method-assign]
     daemon.main()
 
 
--- a/packages/lavenderway-dev/lavenderway_dev/scripted.py
+++ b/packages/lavenderway-dev/lavenderway_dev/scripted.py
@@ -13,8 +13,8 @@
 from random import Random
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-from lavenderway_core import create_state, reduce
 from lavenderway_core import effects as fx
+from lavenderway_core.assembly import create_state, reduce
 from lavenderway_core.configuration import row_key
 from lavenderway_core.directory import digest_secret
 from lavenderway_core.events import (
--- a/packages/lavenderway-node/lavenderway_node/node.py
+++ b/packages/lavenderway-node/lavenderway_node/node.py
@@ -7,7 +7,7 @@
 import secrets
 from typing import TYPE_CHECKING, Any
 
-from lavenderway_core import create_state, reduce
+from lavenderway_core.assembly import create_state, reduce
 from lavenderway_core.configuration import want_status
 from lavenderway_core.events import Event, JobCancelled, StopRequested, Ticked
 from lavenderway_core.ids import ExchangeId, Incarnation, JobId
--- /dev/null
+++ b/packages/lavenderway-relay/lavenderway_relay/entry.py
@@ -0,0 +1,389 @@
+"""The node's part where requests begin: admits them and sees them through."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from lavenderway_core.retries import RetryBudget
+from xxhash import xxh32_intdigest
+
+from lavenderway_relay.hops import HOP_HEADER, Hop, Outcome
+from lavenderway_relay.http import Request, Response, end_to_end
+from lavenderway_relay.refusals import Refusal, refuse
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lavenderway_core.ids import HostId, ServiceId, WorkspaceId
+
+    from lavenderway_relay.hosting import Hosted
+    from lavenderway_relay.lineage import RunningRequest
+    from lavenderway_relay.links import Links
+    from lavenderway_relay.model import HostRecord, Route
+    from lavenderway_relay.routing import RouteTable
+    from lavenderway_relay.state import NodeState
+
+MAX_REFUSING_HOSTS = 4  # hosts that may turn one request away before it is refused
+REPEAT_RATIO = 0.05  # repeats for each request; a quarter of the fleet's budget
+MAX_REPEATS = 3.0  # repeats that one node may save up for a service
+NO_UPSTREAM_RETRY_S = 0.5  # a roster change arrives within this time
+NO_ROOM_RETRY_S = 0.5  # a queue that has no room now is worked off in this time
+NO_CONFIGURATION_RETRY_S = 0.5
+SERVER_ERRORS = range(500, 600)
+
+
+@dataclass(kw_only=True, slots=True)
+class _Journey:
+    """One request on its way, from the caller's node.
+
+    Attributes:
+        arrivals: Upstreams that the request was sent to.
+        in_flight: Whether a host has the request and has not answered yet.
+        cause: Why the last host had no answer.
+
+    """
+
+    request: Request
+    request_id: bytes
+    route: Route
+    service: ServiceId
+    workspace: WorkspaceId | None
+    parent: RunningRequest | None
+    position: float
+    started: float
+    target_at: float
+    deadline: float
+    tried: list[HostId] = field(default_factory=list)
+    arrivals: int = 0
+    in_flight: bool = False
+    cause: Outcome | None = None
+
+
+class Entry:
+    """Serves the callers of this host and the calls of its upstream.
+
+    Args:
+        state: State of the node.
+        links: Ways to the other hosts.
+        loop: The event loop.
+        random: Returns a number in [0, 1).
+
+    """
+
+    def __init__(
+        self,
+        *,
+        state: NodeState,
+        links: Links,
+        loop: asyncio.AbstractEventLoop,
+        random: Callable[[], float],
+    ) -> None:
+        self._state = state
+        self._links = links
+        self._loop = loop
+        self._random = random
+        self._budgets: dict[ServiceId, RetryBudget] = {}
+
+    async def serve(self, request: Request) -> Response:
+        """Answer one request of a caller."""
+        try:
+            return await self._serve(request)
+        except asyncio.CancelledError:
+            self._state.metrics.count("requests", outcome="abandoned")
+            raise
+        except Exception as error:  # the caller gets an answer whatever happens
+            self._state.log.failure(
+                "request.fault", self._loop.time(), error=repr(error)
+            )
+            return refuse(Refusal.FAULT)
+
+    async def _serve(self, request: Request) -> Response:
+        now = self._loop.time()
+        table = self._state.table
+        if table is None:
+            retry_s = NO_CONFIGURATION_RETRY_S
+            return self._refuse(request, Refusal.NO_CONFIGURATION, retry_s=retry_s)
+        route = table.find_route(request.header(b"host") or b"", request.target)
+        if route is None:
+            return self._refuse(request, Refusal.NO_ROUTE)
+        request_id = request.header(self._state.dialect.request_id)
+        if not request_id:
+            return self._refuse(request, Refusal.MALFORMED)
+        workspace = table.find_workspace(request.header(b"authorization"))
+        keyed = bool(table.configuration.workspaces) and not route.public
+        if keyed and workspace is None:
+            return self._refuse(request, Refusal.NO_KEY)
+        journey = self._plan(request, request_id, table, route, workspace, now)
+        if workspace is not None and not await self._take_token(journey):
+            wait_s = self._state.quota.retry_after(workspace, now)
+            retry_s = min(2.0, max(0.2, wait_s)) * (0.75 + self._random() / 2)
+            return self._refuse(request, Refusal.OVER_RATE, journey, retry_s=retry_s)
+        shed = self._judge(journey)
+        if shed is not None:
+            self._give_token_back(journey)
+            return shed
+        try:
+            async with asyncio.timeout_at(journey.deadline):
+                return await self._travel(journey)
+        except TimeoutError:
+            if journey.in_flight or journey.arrivals:
+                return self._refuse(request, Refusal.TIMED_OUT, journey)
+            self._give_token_back(journey)
+            return self._refuse(
+                request, Refusal.EXPIRED, journey, retry_s=NO_ROOM_RETRY_S
+            )
+
+    def _plan(
+        self,
+        request: Request,
+        request_id: bytes,
+        table: RouteTable,
+        route: Route,
+        workspace: WorkspaceId | None,
+        now: float,
+    ) -> _Journey:
+        deadline = now + route.timeout_s
+        asked = request.header(self._state.dialect.deadline_ms)
+        if asked is not None and asked.isdigit():
+            deadline = min(deadline, now + int(asked) / 1e3)
+        parent = self._state.lineage.find_parent(request_id)
+        target_at = now + route.target_s
+        if parent is None:
+            fraction = xxh32_intdigest(request_id) / 2**32
+            position = table.rank(route, workspace) + fraction
+        else:
+            position = parent.position
+            target_at = min(target_at, max(now, parent.target_at))
+        return _Journey(
+            request=request,
+            request_id=request_id,
+            route=route,
+            service=self._state.splits.pick(route),
+            workspace=workspace,
+            parent=parent,
+            position=position,
+            started=now,
+            target_at=target_at,
+            deadline=deadline,
+        )
+
+    async def _take_token(self, journey: _Journey) -> bool:
+        workspace = journey.workspace
+        assert workspace is not None
+        quota = self._state.quota
+        if quota.take(workspace, journey.started):
+            return True
+        wish = quota.wish(workspace, journey.started)
+        if wish is None:
+            return False
+        await self._links.borrow(wish)
+        return quota.take(workspace, self._loop.time())
+
+    def _give_token_back(self, journey: _Journey) -> None:
+        if journey.workspace is not None:
+            self._state.quota.give_back(journey.workspace)
+
+    def _judge(self, journey: _Journey) -> Response | None:
+        """Return the refusal of a root request whose call tree has no room."""
+        if journey.parent is not None:
+            return None
+        verdict = self._state.admission.judge(
+            journey.route.id,
+            journey.service,
+            journey.position,
+            journey.started,
+            jitter=self._random(),
+        )
+        if verdict.limiting is None:
+            return None
+        self._state.log.failure(
+            "request.shed",
+            journey.started,
+            request=journey.request_id,
+            route=journey.route.id,
+            position=round(journey.position, 3),
+            service=verdict.limiting,
+            level=round(verdict.level, 3),
+        )
+        return self._refuse(
+            journey.request, Refusal.SHED, journey, retry_s=verdict.retry_after_s
+        )
+
+    async def _travel(self, journey: _Journey) -> Response:
+        """Send the request to hosts until one answers or none is left."""
+        self._budget(journey.service).record_success()
+        while True:
+            now = self._loop.time()
+            candidates = self._state.roster.hosts_of(journey.service)
+            record = self._state.placement.choose(
+                candidates, now, excluded=journey.tried
+            )
+            if record is None or len(journey.tried) >= MAX_REFUSING_HOSTS:
+                return self._give_up(journey)
+            hosted = await self._send(journey, record)
+            answer = hosted.answer
+            journey.cause = answer.outcome
+            if answer.outcome is Outcome.ANSWERED:
+                response = hosted.response
+                assert response is not None
+                if not self._worth_repeating(journey, response, hosted):
+                    return self._deliver(journey, response)
+                kept: Response | None = response
+            else:
+                kept = None
+            journey.tried.append(record.host)
+            if answer.arrived and not self._may_repeat(journey):
+                if kept is not None:
+                    return self._deliver(journey, kept)
+                return self._give_up(journey)
+
+    async def _send(self, journey: _Journey, record: HostRecord) -> Hosted:
+        now = self._loop.time()
+        state = self._state
+        hop = Hop(
+            state.settings.host,
+            journey.service,
+            state.settings.service,
+            journey.workspace,
+            journey.position,
+            journey.parent is not None,
+            journey.arrivals > 0
+            or (journey.parent is not None and journey.parent.repeat),
+            journey.route.idempotent,
+            journey.target_at - now,
+            journey.deadline - now,
+            state.config_version,
+            state.roster.revision,
+        )
+        journey.in_flight = True
+        state.placement.begin(record.host)
+        try:
+            hosted = await self._links.send(record, journey.request, hop)
+        finally:
+            state.placement.end(record.host)
+        journey.in_flight = False
+        if hosted.answer.arrived:
+            journey.arrivals += 1
+        self._learn(journey, record, hosted)
+        return hosted
+
+    def _learn(self, journey: _Journey, record: HostRecord, hosted: Hosted) -> None:
+        state = self._state
+        answer = hosted.answer
+        now = self._loop.time()
+        if not answer.reported:
+            return
+        state.placement.report(
+            record.host, load=answer.load, mean_s=answer.mean_s, now=now
+        )
+        failed = answer.outcome in (Outcome.REJECTED, Outcome.UNKNOWN)
+        if hosted.response is not None and hosted.response.status in SERVER_ERRORS:
+            failed = not answer.calls
+        state.placement.record_outcome(record.host, failed=failed, now=now)
+        for service, level in answer.levels.items():
+            state.admission.learn_level(service, record.host, level, now)
+        if answer.outcome is Outcome.ANSWERED:
+            state.admission.learn_tree(journey.route.id, journey.service, answer.calls)
+        parent = journey.parent
+        if parent is not None:
+            if answer.arrived:
+                parent.add_call(journey.service, answer.calls)
+            parent.starved = (
+                parent.starved or answer.starved or answer.outcome is Outcome.NO_ROOM
+            )
+
+    def _worth_repeating(
+        self, journey: _Journey, response: Response, hosted: Hosted
+    ) -> bool:
+        if response.status not in SERVER_ERRORS or not journey.route.idempotent:
+            return False
+        return not hosted.answer.starved and not hosted.answer.calls
+
+    def _may_repeat(self, journey: _Journey) -> bool:
+        """Return whether a request that reached an upstream may go to another."""
+        if journey.arrivals >= journey.route.max_attempts:
+            return False
+        if journey.parent is not None and journey.parent.repeat:
+            return False
+        if journey.cause is Outcome.UNKNOWN and not journey.route.idempotent:
+            return False
+        calls = self._state.admission.calls_of(journey.route.id, journey.service)
+        budget = self._budget(journey.service)
+        return budget.take(self._loop.time(), cost=1.0 + calls)
+
+    def _deliver(self, journey: _Journey, response: Response) -> Response:
+        now = self._loop.time()
+        elapsed_s = now - journey.started
+        state = self._state
+        state.metrics.count("requests", outcome="answered")
+        state.metrics.observe(
+            journey.workspace or "-", str(int(journey.position)), elapsed_s
+        )
+        failed = response.status in SERVER_ERRORS
+        write = state.log.failure if failed else state.log.success
+        write(
+            "request.answered",
+            now,
+            request=journey.request_id,
+            route=journey.route.id,
+            status=response.status,
+            hosts=journey.tried,
+            ms=round(elapsed_s * 1e3, 1),
+            config=state.config_version,
+        )
+        headers = [
+            header for header in end_to_end(response.headers) if header[0] != HOP_HEADER
+        ]
+        return Response(response.status, headers, response.body)
+
+    def _give_up(self, journey: _Journey) -> Response:
+        """Return the answer to a request that no host has answered."""
+        cause = journey.cause
+        if cause is Outcome.UNKNOWN:
+            return self._refuse(journey.request, Refusal.UNKNOWN, journey)
+        self._give_token_back(journey)
+        if cause in (Outcome.NO_ROOM, Outcome.REJECTED):
+            retry_s = NO_ROOM_RETRY_S * (0.5 + self._random())
+            reason = Refusal.NO_ROOM
+        else:
+            retry_s = NO_UPSTREAM_RETRY_S * (0.5 + self._random())
+            reason = Refusal.NO_UPSTREAM
+        return self._refuse(journey.request, reason, journey, retry_s=retry_s)
+
+    def _refuse(
+        self,
+        request: Request,
+        reason: Refusal,
+        journey: _Journey | None = None,
+        *,
+        retry_s: float | None = None,
+    ) -> Response:
+        state = self._state
+        state.metrics.count("requests", outcome=reason.value)
+        state.log.failure(
+            "request.refused",
+            self._loop.time(),
+            request=request.header(state.dialect.request_id),
+            reason=reason,
+            route=journey.route.id if journey else None,
+            workspace=journey.workspace if journey else None,
+            hosts=journey.tried if journey else None,
+            cause=journey.cause if journey else None,
+            retry_after_s=retry_s,
+            config=state.config_version,
+        )
+        return refuse(reason, retry_after_s=retry_s)
+
+    def _budget(self, service: ServiceId) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(
+                now=self._loop.time(),
+                ratio=REPEAT_RATIO,
+                min_per_s=0.0,
+                max_balance=MAX_REPEATS,
+            )
+            self._budgets[service] = budget
+        return budget
--- /dev/null
+++ b/packages/lavenderway-relay/lavenderway_relay/gate.py
@@ -0,0 +1,155 @@
+"""Decides when requests are handed to the upstream of this host.
+
+The load it answers: more requests than the upstream has slots. The node beside the
+upstream is its only caller, so it holds back what does not fit. Waiting requests start
+in the order in which they must start to be answered on time. Those that can no longer
+be on time come after those that can, and those that would outlive their deadline are
+refused while they have not run.
+"""
+
+from __future__ import annotations
+
+import heapq
+from enum import Enum
+from itertools import count
+
+MEAN_GAIN = 0.05  # weight of the newest run in the mean; follows a change in 20 runs
+INITIAL_MEAN_S = 0.05  # until the first run ends
+MIN_LIMIT = 1
+REJECT_CUT = 0.9  # factor of the limit after the upstream itself had no room
+LIMIT_RECOVERY_PER_S = 0.25  # part of the slots won back in a second
+
+
+class Verdict(Enum):
+    """What becomes of a request that arrives at the gate."""
+
+    START = "start"
+    WAIT = "wait"
+    REFUSE = "refuse"
+
+
+class Ticket:
+    """One request at the gate.
+
+    Args:
+        start_by: Latest start with which the answer is on time, in seconds.
+        expires: Latest start with which an answer is of use at all, in seconds.
+        call: Whether it belongs to a request that is already running.
+
+    """
+
+    __slots__ = ("call", "expires", "start_by", "waiting")
+
+    def __init__(self, *, start_by: float, expires: float, call: bool) -> None:
+        self.start_by = start_by
+        self.expires = expires
+        self.call = call
+        self.waiting = False
+
+
+class Gate:
+    """Slots of one upstream, and the requests that wait for them.
+
+    Args:
+        slots: Requests that the upstream works on at the same time.
+        now: Present time in seconds.
+
+    """
+
+    def __init__(self, *, slots: int, now: float) -> None:
+        self.slots = max(MIN_LIMIT, slots)
+        self.running = 0
+        self.waiting = 0
+        self.mean_s = INITIAL_MEAN_S
+        self._measured = False
+        self._limit = float(self.slots)
+        self._updated = now
+        self._order = count()
+        self._timely: list[tuple[float, int, Ticket]] = []
+        self._late: list[tuple[float, int, Ticket]] = []
+
+    @property
+    def limit(self) -> int:
+        """Requests that may run now."""
+        return max(MIN_LIMIT, int(self._limit))
+
+    @property
+    def load(self) -> float:
+        """Running and waiting requests for each slot."""
+        return (self.running + self.waiting) / self.limit
+
+    def predict_wait(self) -> float:
+        """Return the expected wait of a request that arrives now, in seconds."""
+        ahead = self.running + self.waiting + 1 - self.limit
+        return max(0.0, ahead * self.mean_s / self.limit)
+
+    def offer(self, ticket: Ticket, now: float) -> Verdict:
+        """Start a request, let it wait, or refuse it."""
+        self._recover(now)
+        if self.running < self.limit and not self.waiting:
+            self.running += 1
+            return Verdict.START
+        bound = ticket.expires if ticket.call else ticket.start_by
+        if now + self.predict_wait() > bound:
+            return Verdict.REFUSE
+        ticket.waiting = True
+        self.waiting += 1
+        entry = (ticket.start_by, next(self._order), ticket)
+        heapq.heappush(self._timely, entry)
+        return Verdict.WAIT
+
+    def withdraw(self, ticket: Ticket) -> None:
+        """Forget a waiting request."""
+        if ticket.waiting:
+            ticket.waiting = False
+            self.waiting -= 1
+
+    def finish(self, elapsed_s: float | None) -> None:
+        """Free the slot of a run; None where its duration says nothing."""
+        self.running -= 1
+        if elapsed_s is None:
+            return
+        if self._measured:
+            self.mean_s += MEAN_GAIN * (elapsed_s - self.mean_s)
+        else:
+            self.mean_s = elapsed_s
+            self._measured = True
+
+    def reject(self, now: float) -> None:
+        """Lower the limit after the upstream had no room for a request."""
+        self._recover(now)
+        self._limit = max(MIN_LIMIT, min(self._limit, self.running) * REJECT_CUT)
+
+    def start_next(self, now: float) -> Ticket | None:
+        """Return the next waiting request to start, if a slot is free."""
+        self._recover(now)
+        if self.running >= self.limit:
+            return None
+        ticket = self._pop(now)
+        if ticket is not None:
+            ticket.waiting = False
+            self.waiting -= 1
+            self.running += 1
+        return ticket
+
+    def _pop(self, now: float) -> Ticket | None:
+        while self._timely:
+            entry = heapq.heappop(self._timely)
+            ticket = entry[2]
+            if not ticket.waiting:
+                continue
+            if ticket.start_by >= now:
+                return ticket
+            heapq.heappush(self._late, (ticket.expires, entry[1], ticket))
+        while self._late:
+            ticket = heapq.heappop(self._late)[2]
+            if ticket.waiting and ticket.expires >= now:
+                return ticket
+        return None
+
+    def _recover(self, now: float) -> None:
+        elapsed = now - self._updated
+        self._updated = now
+        if self._limit < self.slots:
+            gained = elapsed * self.slots * LIMIT_RECOVERY_PER_S
+            self._limit = min(float(self.slots), self._limit + gained)
--- /dev/null
+++ b/packages/lavenderway-relay/lavenderway_relay/links.py
@@ -0,0 +1,189 @@
+"""Ways from this node to the hosts of the fleet, its own included."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import orjson
+
+from lavenderway_relay.hops import (
+    HOP_HEADER,
+    HopAnswer,
+    HopFormatError,
+    Outcome,
+    decode_answer,
+    encode_hop,
+)
+from lavenderway_relay.hosting import Hosted
+from lavenderway_relay.http import Request, encode_request, end_to_end
+from lavenderway_relay.pools import ConnectError, ConnectionBrokenError, ConnectionPool
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lavenderway_core.ids import WorkspaceId
+
+    from lavenderway_relay.hops import Hop
+    from lavenderway_relay.hosting import Hosting
+    from lavenderway_relay.model import HostRecord
+    from lavenderway_relay.quota import Wish
+    from lavenderway_relay.state import NodeState
+
+CONNECT_TIMEOUT_S = 0.3  # many times the way between failure domains
+TALK_TIMEOUT_S = 0.3  # a node answers another's question from memory
+LENDERS_ASKED = 3  # hosts asked for tokens in one round
+TOKENS_TARGET = b"/lavenderway/tokens"
+STATE_TARGET = b"/lavenderway/state"
+
+_UNREPORTED = HopAnswer(Outcome.ABSENT, False, 0.0, 0.0, False, {}, {}, 0, 0, False)
+
+
+class Links:
+    """Sends requests and questions to other nodes.
+
+    Args:
+        state: State of the node.
+        hosting: This node's part beside its own upstream.
+        loop: The event loop.
+        random: Returns a number in [0, 1).
+
+    """
+
+    def __init__(
+        self,
+        *,
+        state: NodeState,
+        hosting: Hosting,
+        loop: asyncio.AbstractEventLoop,
+        random: Callable[[], float],
+    ) -> None:
+        self._state = state
+        self._hosting = hosting
+        self._loop = loop
+        self._random = random
+        self._pool = ConnectionPool(loop=loop, connect_timeout_s=CONNECT_TIMEOUT_S)
+        self._borrowing: dict[WorkspaceId, asyncio.Task[None]] = {}
+        self.on_newer: Callable[[HostRecord], None] = lambda _: None
+
+    async def send(self, record: HostRecord, request: Request, hop: Hop) -> Hosted:
+        """Have a request run at the upstream of a host."""
+        if record.host == self._state.settings.host:
+            return await self._hosting.run(request, hop)
+        data = encode_request(self._forward(request, hop))
+        try:
+            response = await self._pool.exchange(record.address, data)
+        except ConnectError as error:
+            self._suspect(record, error)
+            return Hosted(_UNREPORTED, None)
+        except ConnectionBrokenError as error:
+            self._suspect(record, error)
+            broken = _UNREPORTED._replace(outcome=Outcome.UNKNOWN, arrived=True)
+            return Hosted(broken, None)
+        value = response.header(HOP_HEADER)
+        try:
+            answer = decode_answer(value or b"")
+        except HopFormatError as error:
+            self._suspect(record, error)
+            broken = _UNREPORTED._replace(outcome=Outcome.UNKNOWN, arrived=True)
+            return Hosted(broken, None)
+        self.compare_versions(record, answer.config, answer.revision)
+        answered = answer.outcome is Outcome.ANSWERED
+        return Hosted(answer, response if answered else None)
+
+    def compare_versions(self, record: HostRecord, config: int, revision: int) -> None:
+        """Ask a host for what it knows, if it knows more than this node."""
+        state = self._state
+        if config > state.config_version or revision > state.roster.revision:
+            self.on_newer(record)
+
+    async def ask(
+        self, record: HostRecord, target: bytes, question: dict[str, Any]
+    ) -> dict[str, Any] | None:
+        """Ask another node a question; None if it does not answer."""
+        request = Request(
+            b"POST",
+            target,
+            [(b"host", str(record.address).encode())],
+            orjson.dumps(question),
+        )
+        try:
+            async with asyncio.timeout(TALK_TIMEOUT_S):
+                response = await self._pool.exchange(
+                    record.address, encode_request(request)
+                )
+            answer = orjson.loads(response.body)
+        except (TimeoutError, ConnectError, ConnectionBrokenError, ValueError) as error:
+            self._state.log.failure(
+                "peer.silent",
+                self._loop.time(),
+                peer=record.host,
+                target=target,
+                error=str(error) or type(error).__name__,
+            )
+            return None
+        return answer if isinstance(answer, dict) else None
+
+    async def borrow(self, wish: Wish) -> None:
+        """Ask other hosts for tokens; callers that wait share one round."""
+        task = self._borrowing.get(wish.workspace)
+        if task is None:
+            task = self._loop.create_task(self._borrow(wish))
+            self._borrowing[wish.workspace] = task
+        await asyncio.shield(task)
+
+    async def _borrow(self, wish: Wish) -> None:
+        try:
+            got = 0.0
+            for record in self._pick_lenders():
+                question = {"workspace": wish.workspace, "amount": wish.amount}
+                answer = await self.ask(record, TOKENS_TARGET, question)
+                granted = answer.get("granted") if answer else None
+                if isinstance(granted, int | float) and granted > 0:
+                    got += granted
+                    now = self._loop.time()
+                    self._state.quota.receive(wish.workspace, granted, now)
+                    break
+            if not got:
+                self._state.quota.pause(wish.workspace, self._loop.time())
+        finally:
+            del self._borrowing[wish.workspace]
+
+    def _pick_lenders(self) -> list[HostRecord]:
+        own = self._state.settings
+        now = self._loop.time()
+        peers = [
+            peer
+            for peer in self._state.roster.peers(own.host)
+            if self._state.placement.reachable(peer.host, now)
+        ]
+        peers.sort(key=lambda _: self._random())
+        near = [p for p in peers if p.failure_domain == own.failure_domain]
+        far = [p for p in peers if p.failure_domain != own.failure_domain]
+        return (near[: LENDERS_ASKED - 1] + far)[:LENDERS_ASKED]
+
+    def _forward(self, request: Request, hop: Hop) -> Request:
+        own = self._state.dialect.own
+        headers = [
+            header
+            for header in end_to_end(request.headers)
+            if header[0] not in own and header[0] != HOP_HEADER
+        ]
+        headers.append((HOP_HEADER, encode_hop(hop)))
+        return Request(request.method, request.target, headers, request.body)
+
+    def _suspect(self, record: HostRecord, error: Exception) -> None:
+        now = self._loop.time()
+        period_s = self._state.placement.suspect(record.host, now)
+        self._pool.drop(record.address)
+        self._state.log.state(
+            "peer.suspected",
+            now,
+            peer=record.host,
+            for_s=period_s,
+            error=str(error),
+        )
+
+    def tick(self, now: float) -> None:
+        """Close idle connections."""
+        self._pool.close_idle(now)
--- /dev/null
+++ b/packages/lavenderway-relay/lavenderway_relay/peers.py
@@ -0,0 +1,116 @@
+"""Serves the other nodes of the fleet."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+
+import orjson
+from lavenderway_core.ids import WorkspaceId
+
+from lavenderway_relay.hops import (
+    HOP_HEADER,
+    HopFormatError,
+    Outcome,
+    decode_hop,
+    encode_answer,
+)
+from lavenderway_relay.http import Response
+from lavenderway_relay.links import STATE_TARGET, TOKENS_TARGET
+from lavenderway_relay.records import encode_records
+from lavenderway_relay.refusals import Refusal, refuse
+
+if TYPE_CHECKING:
+    import asyncio
+
+    from lavenderway_relay.hosting import Hosting
+    from lavenderway_relay.http import Request
+    from lavenderway_relay.links import Links
+    from lavenderway_relay.state import NodeState
+
+MAX_LOAN = 10_000.0  # tokens of one loan; far over any burst of a host
+
+
+class Peers:
+    """Answers requests that other nodes send on, and their questions.
+
+    Args:
+        state: State of the node.
+        hosting: This node's part beside its own upstream.
+        links: Ways to the other hosts.
+        loop: The event loop.
+
+    """
+
+    def __init__(
+        self,
+        *,
+        state: NodeState,
+        hosting: Hosting,
+        links: Links,
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
+        self._state = state
+        self._hosting = hosting
+        self._links = links
+        self._loop = loop
+
+    async def serve(self, request: Request) -> Response:
+        """Answer one request of another node."""
+        value = request.header(HOP_HEADER)
+        if value is None:
+            return self._answer_question(request)
+        try:
+            hop = decode_hop(value)
+        except HopFormatError as error:
+            self._log_malformed(error)
+            return refuse(Refusal.MALFORMED)
+        sender = self._state.roster.find(hop.sender)
+        if sender is not None:
+            self._links.compare_versions(sender, hop.config, hop.revision)
+        hosted = await self._hosting.run(request, hop)
+        header = (HOP_HEADER, encode_answer(hosted.answer))
+        response = hosted.response
+        if response is None:
+            not_run = hosted.answer.outcome is not Outcome.UNKNOWN
+            status = (
+                HTTPStatus.SERVICE_UNAVAILABLE if not_run else HTTPStatus.BAD_GATEWAY
+            )
+            return Response(status, [header], b"")
+        return Response(response.status, [*response.headers, header], response.body)
+
+    def _answer_question(self, request: Request) -> Response:
+        try:
+            question = orjson.loads(request.body)
+            if request.target == TOKENS_TARGET:
+                return _json(self._lend(question))
+            if request.target == STATE_TARGET:
+                return _json(self._tell_state(question))
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            self._log_malformed(error)
+            return refuse(Refusal.MALFORMED)
+        return refuse(Refusal.NO_ROUTE)
+
+    def _lend(self, question: dict[str, Any]) -> dict[str, Any]:
+        amount = min(MAX_LOAN, float(question["amount"]))
+        workspace = WorkspaceId(question["workspace"])
+        granted = self._state.quota.lend(workspace, amount, self._loop.time())
+        return {"granted": granted}
+
+    def _tell_state(self, question: dict[str, Any]) -> dict[str, Any]:
+        state = self._state
+        answer: dict[str, Any] = {"revision": state.roster.revision}
+        known = int(question["revision"])
+        answer["hosts"] = encode_records(state.roster.changed_since(known))
+        if state.config_version > int(question["config"]):
+            answer["document"] = state.document.decode()
+        return answer
+
+    def _log_malformed(self, error: Exception) -> None:
+        self._state.log.failure("peer.malformed", self._loop.time(), error=str(error))
+
+
+def _json(value: dict[str, Any]) -> Response:
+    return Response(
+        HTTPStatus.OK, [(b"content-type", b"application/json")], orjson.dumps(value)
+    )
--- /dev/null
+++ b/packages/lavenderway-relay/lavenderway_relay/placement.py
@@ -0,0 +1,173 @@
+"""Chooses the host that takes a request.
+
+The load it answers: upstreams of one service that differ in speed and fill, some of
+them failing, and failure domains between which bytes are dear. The host with the least
+expected delay takes the request, where another failure domain counts as a delay too.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection
+
+    from lavenderway_core.ids import FailureDomainId, HostId
+
+    from lavenderway_relay.model import HostRecord
+
+INITIAL_MEAN_S = 0.05  # expected run on a host that has not told its own
+OTHER_DOMAIN_FACTOR = 1.35  # delay for which a request stays in its failure domain
+LOAD_WEIGHT = 0.6  # growth of the delay with the fill of the slots
+QUEUE_WEIGHT = 3.0  # further growth for each queued request a slot
+FAILURE_GAIN = 0.1  # weight of the newest outcome in the failure ratio
+FAILURE_WEIGHT = 4.0  # growth of the delay with the failure ratio
+NOISE = 0.1  # part of the delay that is random, so that nodes do not move together
+SUSPICION_S = 0.5  # first time for which an unreachable host is passed over
+MAX_SUSPICION_S = 3.0
+REPORT_LIFETIME_S = 1.0  # an older report of load counts as half full
+FADE_S = 5.0  # failures are forgotten over this time
+
+
+@dataclass(slots=True)
+class _Standing:
+    """What this node has seen of one host."""
+
+    load: float = 0.0
+    mean_s: float = INITIAL_MEAN_S
+    reported_at: float = -1e9
+    outstanding_at_report: int = 0
+    outstanding: int = 0
+    failures: float = 0.0
+    failed_at: float = -1e9
+    suspected_until: float = -1e9
+    suspicion_s: float = SUSPICION_S
+    tried: bool = False
+
+
+class Placement:
+    """Standing of the hosts, as seen from one node.
+
+    Args:
+        host: Host of this node.
+        failure_domain: Failure domain of this node.
+        random: Returns a number in [0, 1).
+
+    """
+
+    def __init__(
+        self,
+        *,
+        host: HostId,
+        failure_domain: FailureDomainId,
+        random: Callable[[], float],
+    ) -> None:
+        self._host = host
+        self._failure_domain = failure_domain
+        self._random = random
+        self._standings: dict[HostId, _Standing] = {}
+
+    def choose(
+        self,
+        candidates: Collection[HostRecord],
+        now: float,
+        *,
+        excluded: Collection[HostId] = (),
+    ) -> HostRecord | None:
+        """Return the host with the least expected delay.
+
+        Args:
+            candidates: Hosts whose upstream takes requests for the service.
+            now: Present time in seconds.
+            excluded: Hosts that have been tried with this request.
+
+        """
+        best: HostRecord | None = None
+        best_delay = 0.0
+        suspects = []
+        for record in candidates:
+            if record.host in excluded:
+                continue
+            standing = self._standing(record.host)
+            if standing.suspected_until > now:
+                suspects.append((standing.suspected_until, record))
+                continue
+            if not standing.tried and record.host != self._host:
+                standing.tried = True
+                return record
+            delay = self._expect_delay(record, standing, now)
+            if best is None or delay < best_delay:
+                best, best_delay = record, delay
+        if best is None and suspects:
+            return min(suspects, key=lambda suspect: suspect[0])[1]
+        return best
+
+    def begin(self, host: HostId) -> None:
+        """Count a request sent to a host."""
+        self._standing(host).outstanding += 1
+
+    def end(self, host: HostId) -> None:
+        """Count the end of a request sent to a host."""
+        self._standing(host).outstanding -= 1
+
+    def report(self, host: HostId, *, load: float, mean_s: float, now: float) -> None:
+        """Take in what a host told with an answer."""
+        standing = self._standing(host)
+        standing.load = load
+        standing.mean_s = mean_s
+        standing.reported_at = now
+        standing.outstanding_at_report = standing.outstanding
+        standing.suspicion_s = SUSPICION_S
+        standing.suspected_until = now
+
+    def record_outcome(self, host: HostId, *, failed: bool, now: float) -> None:
+        """Take in whether the upstream of a host failed a request."""
+        standing = self._standing(host)
+        if failed or standing.failures > 0.0:
+            change = FAILURE_GAIN * (float(failed) - standing.failures)
+            standing.failures += change
+        if failed:
+            standing.failed_at = now
+
+    def suspect(self, host: HostId, now: float) -> float:
+        """Pass over a host that cannot be reached; return for how long, in seconds."""
+        standing = self._standing(host)
+        period_s = standing.suspicion_s
+        standing.suspected_until = now + period_s
+        standing.suspicion_s = min(MAX_SUSPICION_S, period_s * 2)
+        return period_s
+
+    def reachable(self, host: HostId, now: float) -> bool:
+        """Return whether a host is not passed over now."""
+        return self._standing(host).suspected_until <= now
+
+    def renew(self, host: HostId) -> None:
+        """Forget what was seen of a host whose upstream or node is a new one."""
+        known = self._standings.get(host)
+        if known is not None:
+            self._standings[host] = _Standing(outstanding=known.outstanding)
+
+    def _expect_delay(
+        self, record: HostRecord, standing: _Standing, now: float
+    ) -> float:
+        slots = max(1, record.upstream.slots) if record.upstream else 1
+        load = standing.load
+        if now - standing.reported_at > REPORT_LIFETIME_S:
+            load = min(load, 0.5)
+        sent_since = standing.outstanding - standing.outstanding_at_report
+        load = max(0.0, load + sent_since / slots)
+        delay = standing.mean_s * (1.0 + LOAD_WEIGHT * min(load, 1.0) ** 2)
+        delay += standing.mean_s * QUEUE_WEIGHT * max(0.0, load - 0.95)
+        if standing.failures > 0.0:
+            fading = max(0.0, 1.0 - (now - standing.failed_at) / FADE_S)
+            delay *= 1.0 + FAILURE_WEIGHT * standing.failures * fading
+        if record.failure_domain != self._failure_domain:
+            delay *= OTHER_DOMAIN_FACTOR
+        return delay * (1.0 + NOISE * self._random())
+
+    def _standing(self, host: HostId) -> _Standing:
+        standing = self._standings.get(host)
+        if standing is None:
+            standing = self._standings[host] = _Standing()
+        return standing
--- /dev/null
+++ b/packages/lavenderway-relay/lavenderway_relay/refusals.py
@@ -0,0 +1,113 @@
+"""Answers that the node makes itself, as problem details."""
+
+from __future__ import annotations
+
+from enum import Enum
+from http import HTTPStatus
+from typing import NamedTuple
+
+import orjson
+
+from lavenderway_relay.http import Response
+
+OUTCOME_HEADER = b"lavenderway-outcome"
+
+
+class Refusal(Enum):
+    """Why the node answers in place of an upstream."""
+
+    MALFORMED = "malformed"
+    TOO_LARGE = "too-large"
+    NO_KEY = "no-key"
+    NO_ROUTE = "no-route"
+    OVER_RATE = "over-rate"
+    SHED = "shed"
+    NO_ROOM = "no-room"
+    NO_UPSTREAM = "no-upstream"
+    NO_CONFIGURATION = "no-configuration"
+    EXPIRED = "expired"
+    TIMED_OUT = "timed-out"
+    UNKNOWN = "unknown"
+    FAULT = "fault"
+
+
+class _Form(NamedTuple):
+    status: HTTPStatus
+    not_run: bool
+    detail: str
+
+
+_FORMS = {
+    Refusal.MALFORMED: _Form(
+        HTTPStatus.BAD_REQUEST, True, "The request cannot be read."
+    ),
+    Refusal.TOO_LARGE: _Form(
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE, True, "The request is too large."
+    ),
+    Refusal.NO_KEY: _Form(
+        HTTPStatus.UNAUTHORIZED, True, "The route needs a key that is in force."
+    ),
+    Refusal.NO_ROUTE: _Form(
+        HTTPStatus.NOT_FOUND, True, "No route matches the host and path."
+    ),
+    Refusal.OVER_RATE: _Form(
+        HTTPStatus.TOO_MANY_REQUESTS, True, "The workspace is over its rate."
+    ),
+    Refusal.SHED: _Form(
+        HTTPStatus.SERVICE_UNAVAILABLE, True, "A service it needs is overloaded."
+    ),
+    Refusal.NO_ROOM: _Form(
+        HTTPStatus.SERVICE_UNAVAILABLE, True, "No upstream has room in time."
+    ),
+    Refusal.NO_UPSTREAM: _Form(
+        HTTPStatus.SERVICE_UNAVAILABLE, True, "No upstream can be reached."
+    ),
+    Refusal.NO_CONFIGURATION: _Form(
+        HTTPStatus.SERVICE_UNAVAILABLE, True, "The node knows no configuration yet."
+    ),
+    Refusal.EXPIRED: _Form(
+        HTTPStatus.SERVICE_UNAVAILABLE, True, "The time is up and it has not run."
+    ),
+    Refusal.TIMED_OUT: _Form(
+        HTTPStatus.GATEWAY_TIMEOUT, False, "The upstream did not answer in time."
+    ),
+    Refusal.UNKNOWN: _Form(
+        HTTPStatus.BAD_GATEWAY, False, "The upstream gave no usable answer."
+    ),
+    Refusal.FAULT: _Form(
+        HTTPStatus.BAD_GATEWAY, False, "The node failed to handle the request."
+    ),
+}
+
+
+def refuse(
+    reason: Refusal,
+    *,
+    retry_after_s: float | None = None,
+    status: int | None = None,
+) -> Response:
+    """Return the answer for a refusal.
+
+    Args:
+        reason: Why the request is refused.
+        retry_after_s: When it may come again, in seconds.
+        status: Status in place of the usual one.
+
+    """
+    form = _FORMS[reason]
+    code = form.status if status is None else status
+    problem = {"title": reason.value, "status": code, "detail": form.detail}
+    headers = [
+        (b"content-type", b"application/problem+json"),
+        (OUTCOME_HEADER, b"not-run" if form.not_run else b"unknown"),
+    ]
+    if retry_after_s is not None:
+        headers.append((b"retry-after", b"%.2f" % retry_after_s))
+    return Response(code, headers, orjson.dumps(problem))
+
+
+def refuse_bytes(status: int) -> Response:
+    """Return the answer to bytes that are no acceptable request."""
+    too_large = status != HTTPStatus.BAD_REQUEST
+    reason = Refusal.TOO_LARGE if too_large else Refusal.MALFORMED
+    return refuse(reason, status=status)
--- /dev/null
+++ b/packages/lavenderway-relay/lavenderway_relay/routing.py
@@ -0,0 +1,105 @@
+"""Looks up routes, workspaces of keys, and the service that takes a request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from lavenderway_core.ids import RouteId, ServiceId, WorkspaceId
+
+    from lavenderway_relay.model import Configuration, Route
+
+
+class RouteTable:
+    """One version of the configuration, arranged for look-ups.
+
+    Args:
+        configuration: The configuration to arrange.
+
+    """
+
+    def __init__(self, *, configuration: Configuration) -> None:
+        self.configuration = configuration
+        self._routes: dict[str, list[Route]] = {}
+        for route in configuration.routes:
+            self._routes.setdefault(route.authority, []).append(route)
+        for routes in self._routes.values():
+            routes.sort(key=lambda route: len(route.prefix), reverse=True)
+        self._classes = self._rank_classes()
+
+    @property
+    def class_count(self) -> int:
+        """Number of importance classes."""
+        return len(self._classes)
+
+    def find_route(self, authority: bytes, target: bytes) -> Route | None:
+        """Return the route with the longest prefix of the path, if there is one."""
+        name = authority.decode("latin-1").lower()
+        routes = self._routes.get(name)
+        if routes is None:
+            routes = self._routes.get(name.partition(":")[0], [])
+        path = target.partition(b"?")[0]
+        for route in routes:
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def find_workspace(self, authorization: bytes | None) -> WorkspaceId | None:
+        """Return the workspace that holds a bearer key."""
+        if authorization is None:
+            return None
+        scheme, _, key = authorization.partition(b" ")
+        if scheme.lower() != b"bearer":
+            return None
+        return self.configuration.workspace_of_key.get(key.strip())
+
+    def rank(self, route: Route, workspace: WorkspaceId | None) -> int:
+        """Return the importance class of a request; 0 is the most important.
+
+        The workspace's priority goes before the route's.
+        """
+        return self._classes.get(self._class_key(route, workspace), self.class_count)
+
+    def _class_key(
+        self, route: Route, workspace: WorkspaceId | None
+    ) -> tuple[int, int]:
+        if workspace is None:
+            return (0, route.priority)
+        found = self.configuration.workspaces.get(workspace)
+        if found is None or found.priority is None:
+            return (0, route.priority)
+        return (found.priority, route.priority)
+
+    def _rank_classes(self) -> dict[tuple[int, int], int]:
+        workspaces: list[WorkspaceId | None] = [None, *self.configuration.workspaces]
+        keys = {
+            self._class_key(route, workspace)
+            for route in self.configuration.routes
+            for workspace in workspaces
+        }
+        return {key: index for index, key in enumerate(sorted(keys))}
+
+
+class SplitCounter:
+    """Deals the requests of each route to its services in proportion to weight.
+
+    Smooth weighted round-robin, so that short windows hold the proportions too.
+    """
+
+    def __init__(self) -> None:
+        self._credit: dict[RouteId, dict[ServiceId, float]] = {}
+
+    def pick(self, route: Route) -> ServiceId:
+        """Return the service that takes the next request of a route."""
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        credit = self._credit.setdefault(route.id, {})
+        if credit.keys() != {share.service for share in route.shares}:
+            credit.clear()
+        total = 0.0
+        for share in route.shares:
+            credit[share.service] = credit.get(share.service, 0.0) + share.weight
+            total += share.weight
+        chosen = max(credit, key=lambda service: credit[service])
+        credit[chosen] -= total
+        return chosen
--- /dev/null
+++ b/packages/lavenderway-relay/lavenderway_relay/state.py
@@ -0,0 +1,104 @@
+"""What one node knows, shared by its parts."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from lavenderway_relay.admission import RootAdmission
+from lavenderway_relay.lineage import Lineage
+from lavenderway_relay.metrics import Metrics
+from lavenderway_relay.model import Limits, UpstreamStatus
+from lavenderway_relay.quota import QuotaShares
+from lavenderway_relay.roster import Roster
+from lavenderway_relay.routing import RouteTable, SplitCounter
+
+if TYPE_CHECKING:
+    from lavenderway_relay.announcements import OwnUpstream
+    from lavenderway_relay.dialect import Dialect
+    from lavenderway_relay.logs import LogStream
+    from lavenderway_relay.model import Configuration, NodeSettings
+    from lavenderway_relay.placement import Placement
+
+DEFAULT_CLASSES = 4  # importance classes until a configuration is known
+
+
+@dataclass(kw_only=True)
+class NodeState:
+    """State of one node; every part reads it, each field has one writer.
+
+    Attributes:
+        settings: Settings of the node.
+        dialect: Header names of callers and upstreams.
+        log: Where decisions are written.
+        placement: Standing of the hosts.
+        own: The upstream on this host.
+        table: The configuration in force, arranged for look-ups; None before the
+            first one is known.
+        document: The configuration in force as it was stored.
+        serving: False from the moment at which the node is told to stop.
+
+    """
+
+    settings: NodeSettings
+    dialect: Dialect
+    log: LogStream
+    placement: Placement
+    own: OwnUpstream
+    metrics: Metrics = field(default_factory=Metrics)
+    admission: RootAdmission = field(default_factory=RootAdmission)
+    lineage: Lineage = field(default_factory=Lineage)
+    quota: QuotaShares = field(default_factory=QuotaShares)
+    roster: Roster = field(default_factory=Roster)
+    splits: SplitCounter = field(default_factory=SplitCounter)
+    table: RouteTable | None = None
+    document: bytes = b""
+    serving: bool = True
+
+    @property
+    def config_version(self) -> int:
+        """Version of the configuration in force; 0 before the first one."""
+        return 0 if self.table is None else self.table.configuration.version
+
+    @property
+    def class_count(self) -> int:
+        """Number of importance classes."""
+        return DEFAULT_CLASSES if self.table is None else self.table.class_count
+
+    @property
+    def limits(self) -> Limits:
+        """Limits on what callers may send."""
+        return Limits() if self.table is None else self.table.configuration.limits
+
+    @property
+    def takes_requests(self) -> bool:
+        """Whether the upstream on this host takes requests."""
+        upstream = self.own.current
+        if upstream is None or self.own.silent:
+            return False
+        return upstream.status is UpstreamStatus.READY
+
+    def apply_configuration(
+        self, configuration: Configuration, document: bytes, now: float
+    ) -> bool:
+        """Put a configuration in force unless a newer one is; return whether it is new.
+
+        A node never goes back to an older version.
+        """
+        if configuration.version <= self.config_version:
+            return False
+        self.table = RouteTable(configuration=configuration)
+        self.document = document
+        self.resize_quota(now)
+        return True
+
+    def resize_quota(self, now: float) -> None:
+        """Follow the workspaces in force and the number of hosts."""
+        if self.table is None:
+            return
+        own = self.roster.find(self.settings.host)
+        members = self.roster.count_members()
+        member = own is not None and not own.retired
+        part = 1.0 / members if member and members else 0.0
+        workspaces = self.table.configuration.workspaces.values()
+        self.quota.resize(workspaces, part=part, now=now)
--- a/tests/core/test_hosting.py
+++ b/tests/core/test_hosting.py
@@ -5,7 +5,7 @@
 import unittest
 
 from lavenderway_core import effects as fx
-from lavenderway_core import reduce
+from lavenderway_core.assembly import reduce
 from lavenderway_core.directory import digest_secret
 from lavenderway_core.events import (
     JobArrived,
