--- /dev/null
+++ b/packages/lavenderway-dev/lavenderway_dev/mesh_store.py
@@ -0,0 +1,172 @@
+"""Stand-in for the platform's metadata store, over HTTP, with faults."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+from base64 import b64decode, b64encode
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+from urllib.parse import parse_qsl, urlsplit
+
+import orjson
+from lavenderway_relay.http import HttpServer, Request, Response
+from lavenderway_relay.refusals import refuse_bytes
+
+if TYPE_CHECKING:
+    from lavenderway_relay.model import Address
+
+PAGE_ROWS = 500
+
+
+@dataclass
+class StoreFaults:
+    """Faults that are in effect.
+
+    Attributes:
+        refuse_with: Status that every call gets; 0 for none.
+        silent: Whether calls get no answer.
+        delay_s: Time that each answer takes, in seconds.
+        lose_writes: Writes still to be done without an answer.
+        turned_away: Sources, by ip, that get no service.
+
+    """
+
+    refuse_with: int = 0
+    silent: bool = False
+    delay_s: float = 0.0
+    lose_writes: int = 0
+    turned_away: set[str] = field(default_factory=set)
+
+
+class MetadataStore:
+    """Tables of rows with one version counter and feeds."""
+
+    def __init__(self) -> None:
+        self.faults = StoreFaults()
+        self.version = 0
+        self.calls = 0
+        self._rows: dict[tuple[str, str], tuple[int, bytes]] = {}
+        self._history: list[tuple[int, str, str]] = []
+        self._oldest = 0
+        self._changed = asyncio.Event()
+
+    async def listen(self, address: Address) -> HttpServer:
+        """Serve the store at an address."""
+        server = HttpServer(
+            loop=asyncio.get_running_loop(), serve=self._serve, refuse=refuse_bytes
+        )
+        await server.listen(address)
+        return server
+
+    def put(self, table: str, key: str, value: bytes) -> int:
+        """Set a row, as the operator does."""
+        self.version += 1
+        self._rows[table, key] = (self.version, value)
+        self._history.append((self.version, table, key))
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return self.version
+
+    def get(self, table: str, key: str) -> bytes | None:
+        """Return the value of a row."""
+        row = self._rows.get((table, key))
+        return None if row is None else row[1]
+
+    def compact(self) -> None:
+        """Forget the history."""
+        self._history.clear()
+        self._oldest = self.version
+
+    async def _serve(self, request: Request) -> Response:
+        self.calls += 1
+        faults = self.faults
+        if faults.silent:
+            await asyncio.sleep(3600)
+        if faults.refuse_with:
+            return Response(faults.refuse_with, [], b"")
+        if faults.delay_s:
+            await asyncio.sleep(faults.delay_s)
+        parts = urlsplit(request.target.decode())
+        query = dict(parse_qsl(parts.query))
+        if parts.path == "/v1/rows-get":
+            return self._read(query)
+        if parts.path == "/v1/rows-feed":
+            return await self._feed(query)
+        if parts.path == "/v1/rows-tx":
+            return await self._transact(orjson.loads(request.body))
+        return Response(404, [], b"")
+
+    def _read(self, query: dict[str, str]) -> Response:
+        start = query.get("from", "")
+        keys = sorted(k for t, k in self._rows if t == query["table"] and k >= start)
+        page = keys[: int(query.get("limit", PAGE_ROWS))]
+        rows = [self._describe(query["table"], key) for key in page]
+        more = len(keys) > len(page)
+        return self._answer({"rows": rows, "has-more": more})
+
+    async def _feed(self, query: dict[str, str]) -> Response:
+        table, after = query["table"], int(query["after"])
+        deadline = asyncio.get_running_loop().time() + int(query["wait-ms"]) / 1000
+        while True:
+            if after < self._oldest:
+                return Response(410, [], b"{}")
+            keys = {k for v, t, k in self._history if v > after and t == table}
+            left = deadline - asyncio.get_running_loop().time()
+            if keys or left <= 0:
+                rows = [self._describe(table, key) for key in keys]
+                return self._answer({"rows": rows})
+            changed = self._changed
+            try:
+                async with asyncio.timeout(left):
+                    await changed.wait()
+            except TimeoutError:
+                continue
+
+    async def _transact(self, body: dict[str, Any]) -> Response:
+        for row in body["expected"]:
+            known = self._rows.get((row["table"], row["key"]), (0, b""))
+            if known[0] != row["ver"]:
+                found = [
+                    self._describe(each["table"], each["key"])
+                    for each in body["expected"]
+                    if (each["table"], each["key"]) in self._rows
+                ]
+                return self._answer({"rows": found}, status=412)
+        for row in body["set-keys"]:
+            self.put(row["table"], row["key"], b64decode(row["value"]))
+        if self.faults.lose_writes > 0:
+            self.faults.lose_writes -= 1
+            await asyncio.sleep(3600)
+        return self._answer({})
+
+    def _describe(self, table: str, key: str) -> dict[str, Any]:
+        version, value = self._rows[table, key]
+        encoded = b64encode(value).decode()
+        return {
+            "table": table,
+            "part": "",
+            "key": key,
+            "value": encoded,
+            "ver": version,
+        }
+
+    def _answer(self, fields: dict[str, Any], *, status: int = 200) -> Response:
+        body = orjson.dumps({**fields, "ver": self.version, "now": "0ms"})
+        return Response(status, [(b"content-type", b"application/json")], body)
+
+
+_drawn: set[int] = set()
+
+
+def draw_port() -> int:
+    """Return a free port below the range of outgoing connections, each one once."""
+    while True:
+        port = random.SystemRandom().randrange(10_000, 32_000)
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            if port in _drawn or probe.connect_ex(("127.0.0.1", port)) == 0:
+                continue
+        _drawn.add(port)
+        return port
--- a/packages/lavenderway-relay/lavenderway_relay/dialect.py
+++ b/packages/lavenderway-relay/lavenderway_relay/dialect.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from lavenderway_relay.hops import HOP_HEADER
+from lavenderway_relay.http import HOP_BY_HOP
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -17,6 +20,8 @@
         expected_upstream: Incarnation that the request is for.
         not_executed: Mark of an answer to a request that has not run.
         caller_service: Service of the host where the request began.
+        stripped: Headers of a caller that are not passed on: those of one connection
+            and those that the node sets itself.
 
     """
 
@@ -27,16 +32,15 @@
     expected_upstream: bytes
     not_executed: bytes
     caller_service: bytes
-
-    @property
-    def own(self) -> frozenset[bytes]:
-        """Headers that the node sets itself, whatever a caller sent."""
-        return frozenset(
-            {
-                self.deadline_ms,
-                self.workspace,
-                self.expected_upstream,
-                self.caller_service,
-                b"authorization",
-            }
-        )
+    stripped: frozenset[bytes] = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Collect the headers that go no further than this node."""
+        own = {
+            self.deadline_ms,
+            self.workspace,
+            self.expected_upstream,
+            self.caller_service,
+            b"authorization",
+        }
+        object.__setattr__(self, "stripped", HOP_BY_HOP | own | {HOP_HEADER})
--- a/packages/lavenderway-relay/lavenderway_relay/entry.py
+++ b/packages/lavenderway-relay/lavenderway_relay/entry.py
@@ -10,7 +10,8 @@
 from xxhash import xxh32_intdigest
 
 from lavenderway_relay.hops import HOP_HEADER, Hop, Outcome
-from lavenderway_relay.http import Request, Response, end_to_end
+from lavenderway_relay.http import HOP_BY_HOP, Request, Response, strip_headers
+from lavenderway_relay.logs import Level
 from lavenderway_relay.refusals import Refusal, refuse
 
 if TYPE_CHECKING:
@@ -32,6 +33,7 @@
 NO_ROOM_RETRY_S = 0.5  # a queue that has no room now is worked off in this time
 NO_CONFIGURATION_RETRY_S = 0.5
 SERVER_ERRORS = range(500, 600)
+_STRIPPED_ANSWER = HOP_BY_HOP | {HOP_HEADER}
 
 
 @dataclass(kw_only=True, slots=True)
@@ -322,20 +324,18 @@
             journey.workspace or "-", str(int(journey.position)), elapsed_s
         )
         failed = response.status in SERVER_ERRORS
-        write = state.log.failure if failed else state.log.success
-        write(
-            "request.answered",
-            now,
-            request=journey.request_id,
-            route=journey.route.id,
-            status=response.status,
-            hosts=journey.tried,
-            ms=round(elapsed_s * 1e3, 1),
-            config=state.config_version,
-        )
-        headers = [
-            header for header in end_to_end(response.headers) if header[0] != HOP_HEADER
-        ]
+        level = Level.FAILURE if failed else Level.SUCCESS
+        if state.log.wants(level, "request.answered", now):
+            state.log.write(
+                "request.answered",
+                request=journey.request_id,
+                route=journey.route.id,
+                status=response.status,
+                hosts=journey.tried,
+                ms=round(elapsed_s * 1e3, 1),
+                config=state.config_version,
+            )
+        headers = strip_headers(response.headers, _STRIPPED_ANSWER)
         return Response(response.status, headers, response.body)
 
     def _give_up(self, journey: _Journey) -> Response:
--- a/packages/lavenderway-relay/lavenderway_relay/hops.py
+++ b/packages/lavenderway-relay/lavenderway_relay/hops.py
@@ -1,7 +1,7 @@
 """The header in which two nodes tell each other about a request and its answer.
 
-It is compact, since bytes between failure domains are dear: fields of one letter,
-`name=value`, separated by semicolons.
+It is a JSON array without names, since bytes between failure domains are dear and each
+hop reads and writes one.
 """
 
 from __future__ import annotations
@@ -9,6 +9,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+import orjson
 from lavenderway_core.ids import HostId, ServiceId, WorkspaceId
 
 HOP_HEADER = b"lavenderway-hop"
@@ -100,91 +101,99 @@
     """Return the header's value for a request."""
     flags = (1 if hop.call else 0) | (2 if hop.repeat else 0)
     flags |= 4 if hop.idempotent else 0
-    workspace = hop.workspace or ""
-    text = (
-        f"h={hop.sender};s={hop.service};c={hop.caller_service};w={workspace};"
-        f"p={hop.position:.3f};f={flags};t={hop.target_s * 1e3:.0f};"
-        f"d={hop.deadline_s * 1e3:.0f};v={hop.config};r={hop.revision}"
+    fields = (
+        hop.sender,
+        hop.service,
+        hop.caller_service,
+        hop.workspace,
+        round(hop.position, 3),
+        flags,
+        int(hop.target_s * 1e3),
+        int(hop.deadline_s * 1e3),
+        hop.config,
+        hop.revision,
     )
-    return text.encode()
+    return orjson.dumps(fields)
 
 
 def decode_hop(value: bytes) -> Hop:
     """Read the header of a request.
 
     Raises:
-        HopFormatError: A field is missing or is no number.
+        HopFormatError: A field is missing or of another type.
 
     """
-    fields = _split(value)
     try:
-        flags = int(fields["f"])
+        (
+            sender,
+            service,
+            caller_service,
+            workspace,
+            position,
+            flags,
+            target_ms,
+            deadline_ms,
+            config,
+            revision,
+        ) = orjson.loads(value)
         return Hop(
-            HostId(fields["h"]),
-            ServiceId(fields["s"]),
-            ServiceId(fields["c"]),
-            WorkspaceId(fields["w"]) if fields["w"] else None,
-            float(fields["p"]),
+            HostId(sender),
+            ServiceId(service),
+            ServiceId(caller_service),
+            None if workspace is None else WorkspaceId(workspace),
+            float(position),
             bool(flags & 1),
             bool(flags & 2),
             bool(flags & 4),
-            float(fields["t"]) / 1e3,
-            float(fields["d"]) / 1e3,
-            int(fields["v"]),
-            int(fields["r"]),
+            target_ms / 1e3,
+            deadline_ms / 1e3,
+            int(config),
+            int(revision),
         )
-    except (KeyError, ValueError) as error:
+    except (TypeError, ValueError) as error:
         raise HopFormatError(f"hop header {value!r}: {error}") from error
 
 
 def encode_answer(answer: HopAnswer) -> bytes:
     """Return the header's value for an answer."""
     flags = (1 if answer.arrived else 0) | (2 if answer.starved else 0)
-    text = (
-        f"o={answer.outcome.value};f={flags};q={answer.load:.2f};"
-        f"m={answer.mean_s * 1e3:.1f};v={answer.config};r={answer.revision}"
+    fields = (
+        answer.outcome.value,
+        flags,
+        round(answer.load, 2),
+        round(answer.mean_s * 1e3, 1),
+        answer.config,
+        answer.revision,
+        {name: round(level, 2) for name, level in answer.levels.items()},
+        answer.calls,
     )
-    if answer.levels:
-        pairs = (f"{name}:{level:.2f}" for name, level in answer.levels.items())
-        text += ";l=" + ",".join(pairs)
-    if answer.calls:
-        pairs = (f"{name}:{count:g}" for name, count in answer.calls.items())
-        text += ";k=" + ",".join(pairs)
-    return text.encode()
+    return orjson.dumps(fields)
 
 
 def decode_answer(value: bytes) -> HopAnswer:
     """Read the header of an answer.
 
     Raises:
-        HopFormatError: A field is missing or is no number.
+        HopFormatError: A field is missing or of another type.
 
     """
-    fields = _split(value)
     try:
-        flags = int(fields["f"])
+        outcome, flags, load, mean_ms, config, revision, levels, calls = orjson.loads(
+            value
+        )
         return HopAnswer(
-            Outcome(fields["o"]),
+            _OUTCOMES[outcome],
             bool(flags & 1),
-            float(fields["q"]),
-            float(fields["m"]) / 1e3,
+            float(load),
+            mean_ms / 1e3,
             bool(flags & 2),
-            _pairs(fields.get("l", "")),
-            _pairs(fields.get("k", "")),
-            int(fields["v"]),
-            int(fields["r"]),
+            dict(levels),
+            dict(calls),
+            int(config),
+            int(revision),
         )
-    except (KeyError, ValueError) as error:
+    except (TypeError, ValueError, KeyError) as error:
         raise HopFormatError(f"hop header {value!r}: {error}") from error
 
 
-def _split(value: bytes) -> dict[str, str]:
-    pieces = value.decode("latin-1").split(";")
-    return dict(piece.partition("=")[::2] for piece in pieces)
-
-
-def _pairs(text: str) -> dict[ServiceId, float]:
-    if not text:
-        return {}
-    pairs = (piece.rpartition(":") for piece in text.split(","))
-    return {ServiceId(name): float(number) for name, _, number in pairs}
+_OUTCOMES = {outcome.value: outcome for outcome in Outcome}
--- a/packages/lavenderway-relay/lavenderway_relay/hosting.py
+++ b/packages/lavenderway-relay/lavenderway_relay/hosting.py
@@ -7,8 +7,8 @@
 
 from lavenderway_relay.answers import Finding, judge_response
 from lavenderway_relay.gate import Gate, Ticket, Verdict
-from lavenderway_relay.hops import HOP_HEADER, HopAnswer, Outcome
-from lavenderway_relay.http import Request, Response, encode_request, end_to_end
+from lavenderway_relay.hops import HopAnswer, Outcome
+from lavenderway_relay.http import Request, Response, encode_request, strip_headers
 from lavenderway_relay.lineage import RunningRequest
 from lavenderway_relay.pools import ConnectError, ConnectionBrokenError, ConnectionPool
 from lavenderway_relay.pressure import PressureLevel
@@ -227,12 +227,7 @@
     ) -> Request:
         """Return the request as the upstream gets it."""
         dialect = self._state.dialect
-        own = dialect.own
-        headers = [
-            header
-            for header in end_to_end(request.headers)
-            if header[0] not in own and header[0] != HOP_HEADER
-        ]
+        headers = strip_headers(request.headers, dialect.stripped)
         headers.append((dialect.deadline_ms, b"%d" % max(1, int(left_s * 1e3))))
         headers.append((dialect.expected_upstream, upstream.id.encode()))
         headers.append((dialect.caller_service, hop.caller_service.encode()))
--- a/packages/lavenderway-relay/lavenderway_relay/http.py
+++ b/packages/lavenderway-relay/lavenderway_relay/http.py
@@ -11,7 +11,7 @@
 import socket
 from collections import deque
 from http import HTTPStatus
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, NamedTuple, cast
 
 import httptools
 
@@ -117,15 +117,23 @@
     return b"\r\n".join(lines) + response.body
 
 
-def end_to_end(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
-    """Return the headers that concern more than one connection."""
-    named: set[bytes] = set()
-    kept = []
-    for name, value in headers:
-        if name == b"connection":
-            named.update(part.strip().lower() for part in value.split(b","))
-        elif name not in HOP_BY_HOP:
-            kept.append((name, value))
+def strip_headers(
+    headers: Iterable[tuple[bytes, bytes]], stripped: frozenset[bytes] = HOP_BY_HOP
+) -> Headers:
+    """Return the headers that are passed on.
+
+    Args:
+        headers: All headers of a message.
+        stripped: Names that are left out, those of one connection among them.
+
+    """
+    kept = [header for header in headers if header[0] not in stripped]
+    named = {
+        part.strip().lower()
+        for name, value in headers
+        if name == b"connection"
+        for part in value.split(b",")
+    }
     if named - {b"close", b"keep-alive"}:
         kept = [header for header in kept if header[0] not in named]
     return kept
@@ -216,8 +224,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the connection into the listener's set."""
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
+        self._transport = cast("asyncio.Transport", transport)
         detect_silence(transport)
         self._server.connections.add(self)
 
@@ -485,8 +492,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Prepare the connection."""
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
+        self._transport = cast("asyncio.Transport", transport)
         detect_silence(transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/packages/lavenderway-relay/lavenderway_relay/links.py
+++ b/packages/lavenderway-relay/lavenderway_relay/links.py
@@ -16,7 +16,7 @@
     encode_hop,
 )
 from lavenderway_relay.hosting import Hosted
-from lavenderway_relay.http import Request, encode_request, end_to_end
+from lavenderway_relay.http import Request, encode_request, strip_headers
 from lavenderway_relay.pools import ConnectError, ConnectionBrokenError, ConnectionPool
 
 if TYPE_CHECKING:
@@ -32,7 +32,7 @@
 
 CONNECT_TIMEOUT_S = 0.3  # many times the way between failure domains
 TALK_TIMEOUT_S = 0.3  # a node answers another's question from memory
-LENDERS_ASKED = 3  # hosts asked for tokens in one round
+LENDERS_ASKED = 4  # hosts asked for tokens in one round
 TOKENS_TARGET = b"/lavenderway/tokens"
 STATE_TARGET = b"/lavenderway/state"
 
@@ -136,13 +136,13 @@
         try:
             got = 0.0
             for record in self._pick_lenders():
-                question = {"workspace": wish.workspace, "amount": wish.amount}
+                question = {"workspace": wish.workspace, "amount": wish.amount - got}
                 answer = await self.ask(record, TOKENS_TARGET, question)
                 granted = answer.get("granted") if answer else None
                 if isinstance(granted, int | float) and granted > 0:
                     got += granted
-                    now = self._loop.time()
-                    self._state.quota.receive(wish.workspace, granted, now)
+                    self._state.quota.receive(wish.workspace, granted)
+                if got >= wish.amount:
                     break
             if not got:
                 self._state.quota.pause(wish.workspace, self._loop.time())
@@ -163,12 +163,7 @@
         return (near[: LENDERS_ASKED - 1] + far)[:LENDERS_ASKED]
 
     def _forward(self, request: Request, hop: Hop) -> Request:
-        own = self._state.dialect.own
-        headers = [
-            header
-            for header in end_to_end(request.headers)
-            if header[0] not in own and header[0] != HOP_HEADER
-        ]
+        headers = strip_headers(request.headers, self._state.dialect.stripped)
         headers.append((HOP_HEADER, encode_hop(hop)))
         return Request(request.method, request.target, headers, request.body)
 
--- a/packages/lavenderway-relay/lavenderway_relay/logs.py
+++ b/packages/lavenderway-relay/lavenderway_relay/logs.py
@@ -72,17 +72,12 @@
     def state(self, event: str, now: float, **fields: object) -> None:
         """Write a change of what the process believes."""
         if self.wants(Level.STATE, event, now):
-            self._write(event, fields)
+            self.write(event, **fields)
 
     def failure(self, event: str, now: float, **fields: object) -> None:
         """Write a decision that cost a request its answer, or a fault."""
         if self.wants(Level.FAILURE, event, now):
-            self._write(event, fields)
-
-    def success(self, event: str, now: float, **fields: object) -> None:
-        """Write a decision about a request that went as planned."""
-        if self.wants(Level.SUCCESS, event, now):
-            self._write(event, fields)
+            self.write(event, **fields)
 
     def flush(self) -> None:
         """Hand over what the reader takes without waiting for it."""
@@ -105,7 +100,8 @@
                 self._buffer.append(data[written:])
                 return
 
-    def _write(self, event: str, fields: dict[str, object]) -> None:
+    def write(self, event: str, **fields: object) -> None:
+        """Write a line that `wants` has let pass."""
         if self._buffered > MAX_BUFFERED_BYTES:
             self._left_out[event] += 1
             return
--- a/packages/lavenderway-relay/lavenderway_relay/peers.py
+++ b/packages/lavenderway-relay/lavenderway_relay/peers.py
@@ -15,7 +15,7 @@
     decode_hop,
     encode_answer,
 )
-from lavenderway_relay.http import Response, end_to_end
+from lavenderway_relay.http import Response, strip_headers
 from lavenderway_relay.links import STATE_TARGET, TOKENS_TARGET
 from lavenderway_relay.records import encode_records
 from lavenderway_relay.refusals import Refusal, refuse
@@ -77,7 +77,7 @@
                 HTTPStatus.SERVICE_UNAVAILABLE if not_run else HTTPStatus.BAD_GATEWAY
             )
             return Response(status, [header], b"")
-        headers = [*end_to_end(response.headers), header]
+        headers = [*strip_headers(response.headers), header]
         return Response(response.status, headers, response.body)
 
     def _answer_question(self, request: Request) -> Response:
--- a/packages/lavenderway-relay/lavenderway_relay/quota.py
+++ b/packages/lavenderway-relay/lavenderway_relay/quota.py
@@ -118,14 +118,11 @@
         bucket.tokens -= granted - from_borrowed
         return granted
 
-    def receive(self, workspace: WorkspaceId, amount: float, now: float) -> None:
+    def receive(self, workspace: WorkspaceId, amount: float) -> None:
         """Take in tokens that another host has lent."""
         allowance = self._allowances.get(workspace)
-        if allowance is None:
-            return
-        allowance.borrowed += amount
-        if amount < MIN_LOAN:
-            allowance.pause_until = now + PAUSE_S
+        if allowance is not None:
+            allowance.borrowed += amount
 
     def wish(self, workspace: WorkspaceId, now: float) -> Wish | None:
         """Return what to borrow for a request that found no token."""
--- /dev/null
+++ b/tests/platform_adapter/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the platform adapter."""
--- /dev/null
+++ b/tests/platform_adapter/test_decoding.py
@@ -0,0 +1,130 @@
+"""Tests of what the adapter makes of the platform's messages."""
+
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+import orjson
+from lavenderway_core.ids import UpstreamId
+from lavenderway_dev.mesh_fleet import make_config, make_route
+from lavenderway_platform._values import ValueFormatError
+from lavenderway_platform.announcements import decode_departure, decode_heartbeat
+from lavenderway_platform.configuration import decode_configuration
+from lavenderway_platform.settings import SettingsError, read_settings
+from lavenderway_relay.model import UpstreamStatus
+from lavenderway_relay.sync import ConfigurationFormatError
+
+HEARTBEAT: dict[str, Any] = {
+    "address": "10.0.0.1:80",
+    "born": 1000,
+    "info": {"service": "s", "version": "v1", "zone": "z", "capacity": 5},
+    "status": {"state": "ready", "sequence": 4, "warmup-left": "0ms"},
+}
+
+
+class Heartbeats(unittest.TestCase):
+    """A heartbeat names an upstream, or is refused with its place."""
+
+    def decode(self, fields: object) -> object:
+        return decode_heartbeat(UpstreamId("i"), orjson.dumps(fields))
+
+    def test_a_good_one(self) -> None:
+        upstream = decode_heartbeat(UpstreamId("i"), orjson.dumps(HEARTBEAT))
+        self.assertEqual(5, upstream.slots)
+        self.assertEqual(UpstreamStatus.READY, upstream.status)
+        self.assertEqual(1000, upstream.born_ms)
+
+    def test_foreign_ones(self) -> None:
+        status = HEARTBEAT["status"]
+        cases: list[tuple[str, object]] = [
+            ("body", []),
+            ("info", {**HEARTBEAT, "info": 3}),
+            ("info.service", {**HEARTBEAT, "info": {"capacity": 3}}),
+            ("info.capacity", {**HEARTBEAT, "info": {"service": "s", "capacity": "x"}}),
+            ("status.state", {**HEARTBEAT, "status": {**status, "state": "odd"}}),
+            ("status.sequence", {**HEARTBEAT, "status": {"state": "ready"}}),
+            ("address", {**HEARTBEAT, "address": "nowhere"}),
+            ("born", {**HEARTBEAT, "born": "yesterday"}),
+        ]
+        for place, fields in cases:
+            with self.subTest(place):
+                with self.assertRaises(ValueFormatError) as caught:
+                    self.decode(fields)
+                self.assertIn(place, str(caught.exception))
+
+    def test_bytes_that_cannot_be_read(self) -> None:
+        with self.assertRaises(ValueFormatError):
+            decode_heartbeat(UpstreamId("i"), b"\xff{")
+
+    def test_departures(self) -> None:
+        self.assertIsNone(decode_departure(b""))
+        self.assertIsNone(decode_departure(b"{}"))
+        self.assertEqual(7, decode_departure(b'{"born":7}'))
+
+
+class Configurations(unittest.TestCase):
+    """A configuration document is read whole, or refused with its place."""
+
+    def test_a_good_one(self) -> None:
+        tenants = {"t": {"api-keys": ["k"], "priority": 1, "rate-per-s": 5, "burst": 2}}
+        document = make_config(12, {"r": make_route("/a/", "s")}, tenants)
+        configuration = decode_configuration(orjson.dumps(document))
+        self.assertEqual(12, configuration.version)
+        self.assertEqual(3.0, configuration.routes[0].timeout_s)
+        self.assertEqual({b"k": "t"}, dict(configuration.workspace_of_key))
+        self.assertEqual(4096, configuration.limits.head_bytes)
+
+    def test_a_split(self) -> None:
+        route = make_route("/a/", "s")
+        del route["service"]
+        route["traffic-split"] = [
+            {"service": "x", "weight": 90},
+            {"service": "y", "weight": 10},
+        ]
+        document = orjson.dumps(make_config(1, {"r": route}))
+        shares = decode_configuration(document).routes[0].shares
+        self.assertEqual([("x", 90.0), ("y", 10.0)], [tuple(s) for s in shares])
+
+    def test_bad_ones(self) -> None:
+        good = make_route("/a/", "s")
+        cases = {
+            "routes.r.timeout": {"r": {**good, "timeout": "soon"}},
+            "routes.r.service": {"r": {**good, "service": None}},
+            "routes.r": {"r": 5},
+        }
+        for place, routes in cases.items():
+            with self.subTest(place):
+                document = orjson.dumps({"version": "01", "routes": routes})
+                with self.assertRaises(ConfigurationFormatError) as caught:
+                    decode_configuration(document)
+                self.assertIn(place, str(caught.exception))
+        for document in (b"", b"[]", b'{"routes":{}}', b'{"version":"zz"}'):
+            with (
+                self.subTest(document=document),
+                self.assertRaises(ConfigurationFormatError),
+            ):
+                decode_configuration(document)
+
+
+class Settings(unittest.TestCase):
+    """Settings that cannot be used are refused with file and key."""
+
+    def test_missing_keys(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "local.toml"
+            for text, place in (
+                ("", "listen"),
+                ("x =", "Invalid value"),
+                ("[listen]", "bo"),
+            ):
+                path.write_text(text, encoding="utf-8")
+                with self.subTest(text):
+                    with self.assertRaises(SettingsError) as caught:
+                        read_settings(str(path))
+                    self.assertIn(str(path), str(caught.exception))
+                    self.assertIn(place, str(caught.exception))
+
+    def test_no_file(self) -> None:
+        with self.assertRaises(SettingsError):
+            read_settings("/nonexistent/local.toml")
--- /dev/null
+++ b/tests/relay/test_gate.py
@@ -0,0 +1,95 @@
+"""Tests of the gate in front of an upstream."""
+
+import unittest
+
+from lavenderway_relay.gate import Gate, Ticket, Verdict
+
+
+def make_ticket(
+    start_by: float, *, expires: float = 100.0, call: bool = False
+) -> Ticket:
+    return Ticket(start_by=start_by, expires=expires, call=call)
+
+
+class GateSlots(unittest.TestCase):
+    """No more requests run than the upstream has slots."""
+
+    def test_starts_up_to_the_slots(self) -> None:
+        gate = Gate(slots=2, now=0.0)
+        verdicts = [gate.offer(make_ticket(10.0), 0.0) for _ in range(3)]
+        self.assertEqual([Verdict.START, Verdict.START, Verdict.WAIT], verdicts)
+
+    def test_a_free_slot_goes_to_the_waiting_request(self) -> None:
+        gate = Gate(slots=1, now=0.0)
+        gate.offer(make_ticket(10.0), 0.0)
+        waiting = make_ticket(10.0)
+        gate.offer(waiting, 0.0)
+        self.assertIsNone(gate.start_next(0.0))
+        gate.finish(0.1)
+        self.assertIs(waiting, gate.start_next(0.1))
+        self.assertEqual(1, gate.running)
+
+    def test_a_withdrawn_request_is_passed_over(self) -> None:
+        gate = Gate(slots=1, now=0.0)
+        gate.offer(make_ticket(10.0), 0.0)
+        first, second = make_ticket(1.0), make_ticket(2.0)
+        gate.offer(first, 0.0)
+        gate.offer(second, 0.0)
+        gate.withdraw(first)
+        gate.finish(None)
+        self.assertIs(second, gate.start_next(0.5))
+        self.assertEqual(0, gate.waiting)
+
+    def test_rejections_lower_the_limit_and_it_recovers(self) -> None:
+        gate = Gate(slots=20, now=0.0)
+        for _ in range(10):
+            gate.offer(make_ticket(10.0), 0.0)
+        gate.reject(0.0)
+        self.assertEqual(9, gate.limit)
+        gate.start_next(10.0)
+        self.assertEqual(20, gate.limit)
+
+
+class GateOrder(unittest.TestCase):
+    """Requests start in the order in which they must start to be on time."""
+
+    def setUp(self) -> None:
+        self.gate = Gate(slots=1, now=0.0)
+        self.gate.offer(make_ticket(10.0), 0.0)
+
+    def test_the_most_urgent_goes_first(self) -> None:
+        tickets = [make_ticket(3.0), make_ticket(1.0), make_ticket(2.0)]
+        for ticket in tickets:
+            self.gate.offer(ticket, 0.0)
+        order = []
+        for _ in tickets:
+            self.gate.finish(None)
+            started = self.gate.start_next(0.5)
+            assert started is not None
+            order.append(started.start_by)
+        self.assertEqual([1.0, 2.0, 3.0], order)
+
+    def test_a_late_request_comes_after_those_that_can_be_on_time(self) -> None:
+        late, timely = make_ticket(1.0), make_ticket(5.0)
+        self.gate.offer(late, 0.0)
+        self.gate.offer(timely, 0.0)
+        self.gate.finish(None)
+        self.assertIs(timely, self.gate.start_next(2.0))
+        self.gate.finish(None)
+        self.assertIs(late, self.gate.start_next(2.0))
+
+    def test_an_expired_request_is_not_started(self) -> None:
+        self.gate.offer(make_ticket(1.0, expires=1.5), 0.0)
+        self.gate.finish(None)
+        self.assertIsNone(self.gate.start_next(2.0))
+
+    def test_no_room_in_time_is_refused_before_the_wait(self) -> None:
+        for _ in range(3):
+            self.gate.offer(make_ticket(10.0), 0.0)
+        self.assertEqual(Verdict.REFUSE, self.gate.offer(make_ticket(0.01), 0.0))
+
+    def test_a_call_of_a_running_request_waits_until_it_expires(self) -> None:
+        for _ in range(3):
+            self.gate.offer(make_ticket(10.0), 0.0)
+        call = make_ticket(0.01, expires=5.0, call=True)
+        self.assertEqual(Verdict.WAIT, self.gate.offer(call, 0.0))
--- /dev/null
+++ b/tests/relay/test_hops.py
@@ -0,0 +1,71 @@
+"""Tests of the header between two nodes."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+from lavenderway_core.ids import HostId, ServiceId, WorkspaceId
+from lavenderway_relay.hops import (
+    Hop,
+    HopAnswer,
+    HopFormatError,
+    Outcome,
+    decode_answer,
+    decode_hop,
+    encode_answer,
+    encode_hop,
+)
+
+HOP = Hop(
+    HostId("h"),
+    ServiceId("s;=,"),
+    ServiceId("c"),
+    WorkspaceId("w"),
+    1.25,
+    True,
+    False,
+    True,
+    -0.5,
+    2.5,
+    7,
+    9,
+)
+ANSWER = HopAnswer(
+    Outcome.NO_ROOM,
+    True,
+    1.5,
+    0.25,
+    True,
+    {ServiceId("s"): 1.5},
+    {ServiceId("s"): 4.0},
+    7,
+    9,
+)
+
+
+class HopHeader(unittest.TestCase):
+    """Both directions keep their values; what cannot be read raises one error."""
+
+    def test_round_trip(self) -> None:
+        self.assertEqual(HOP, decode_hop(encode_hop(HOP)))
+        self.assertEqual(ANSWER, decode_answer(encode_answer(ANSWER)))
+
+    def test_has_no_line_breaks(self) -> None:
+        hop = HOP._replace(workspace=WorkspaceId("a\r\nb: c"))
+        self.assertNotIn(b"\n", encode_hop(hop))
+
+    @given(st.binary(max_size=200))
+    def test_any_bytes(self, value: bytes) -> None:
+        with self.assertRaises(HopFormatError):
+            decode_hop(value)
+        with self.assertRaises(HopFormatError):
+            decode_answer(value)
+
+    def test_foreign_arrays(self) -> None:
+        for value in (b"[]", b"null", b'["a"]', b"[1,2,3,4,5,6,7,8]", b"{}"):
+            with self.subTest(value=value), self.assertRaises(HopFormatError):
+                decode_answer(value)
+
+    def test_refusals_say_not_run(self) -> None:
+        run = {outcome for outcome in Outcome if not outcome.not_run}
+        self.assertEqual({Outcome.ANSWERED, Outcome.UNKNOWN}, run)
--- /dev/null
+++ b/tests/relay/test_http.py
@@ -0,0 +1,253 @@
+"""Tests of connections against scripted peers that misbehave."""
+
+import asyncio
+import socket
+import struct
+import unittest
+from collections.abc import Awaitable, Callable
+
+from lavenderway_dev.mesh_store import draw_port
+from lavenderway_relay.http import HttpServer, Request, Response, encode_request
+from lavenderway_relay.model import Address, Limits
+from lavenderway_relay.pools import ConnectError, ConnectionBrokenError, ConnectionPool
+from lavenderway_relay.refusals import refuse_bytes
+
+ID = b"x-id"
+WHOLE = b"HTTP/1.1 200 OK\r\nx-id: 1\r\ncontent-length: 2\r\n\r\nok"
+LIMITS = Limits(head_bytes=500, body_bytes=100, head_timeout_s=0.2, idle_timeout_s=0.2)
+
+Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+def make_get(request_id: bytes = b"1") -> bytes:
+    return encode_request(
+        Request(b"GET", b"/", [(b"host", b"a"), (ID, request_id)], b"")
+    )
+
+
+class ScriptedServer(unittest.IsolatedAsyncioTestCase):
+    """A client connection against a server that follows a script."""
+
+    async def start(self, script: Script) -> None:
+        self.address = Address("127.0.0.1", draw_port())
+        self.server = await asyncio.start_server(script, *self.address)
+        self.addCleanup(self.server.close)
+        loop = asyncio.get_running_loop()
+        self.pool = ConnectionPool(loop=loop, connect_timeout_s=1.0, echo_header=ID)
+
+    async def answer_with(self, *pieces: bytes, reset: bool = False) -> None:
+        async def script(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            for piece in pieces:
+                writer.write(piece)
+                await asyncio.sleep(0.01)
+            if reset:
+                linger = struct.pack("ii", 1, 0)
+                sock = writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                writer.transport.abort()
+            else:
+                writer.close()
+
+        await self.start(script)
+
+    async def exchange(self, request_id: bytes = b"1") -> Response:
+        data = make_get(request_id)
+        async with asyncio.timeout(3.0):
+            return await self.pool.exchange(self.address, data, echo=request_id)
+
+    async def test_a_whole_answer(self) -> None:
+        await self.answer_with(WHOLE)
+        self.assertEqual(b"ok", (await self.exchange()).body)
+
+    async def test_a_truncated_answer_is_broken(self) -> None:
+        await self.answer_with(WHOLE[:-1])
+        with self.assertRaises(ConnectionBrokenError):
+            await self.exchange()
+
+    async def test_an_answer_without_length_ends_with_the_connection(self) -> None:
+        await self.answer_with(b"HTTP/1.1 200 OK\r\nx-id: 1\r\n\r\nwh", b"ole")
+        self.assertEqual(b"whole", (await self.exchange()).body)
+
+    async def test_a_reset_answer_without_length_is_broken(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\nx-id: 1\r\n\r\npart"
+        await self.answer_with(head, reset=True)
+        with self.assertRaises(ConnectionBrokenError):
+            await self.exchange()
+
+    async def test_bytes_that_are_no_answer(self) -> None:
+        await self.answer_with(b"nonsense\r\n\r\n")
+        with self.assertRaises(ConnectionBrokenError):
+            await self.exchange()
+
+    async def test_an_answer_to_another_request_is_passed_over(self) -> None:
+        foreign = WHOLE.replace(b"x-id: 1", b"x-id: 9").replace(b"ok", b"no")
+        await self.answer_with(foreign + WHOLE)
+        self.assertEqual(b"ok", (await self.exchange()).body)
+
+    async def test_an_interim_answer_is_passed_over(self) -> None:
+        await self.answer_with(b"HTTP/1.1 100 Continue\r\n\r\n", WHOLE)
+        self.assertEqual(b"ok", (await self.exchange()).body)
+
+    async def test_extra_bytes_reach_no_later_request(self) -> None:
+        connections = 0
+
+        async def script(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal connections
+            connections += 1
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(WHOLE)
+            await asyncio.sleep(0.02)
+            writer.write(WHOLE)
+            await reader.read()
+            writer.close()
+
+        await self.start(script)
+        await self.exchange()
+        await asyncio.sleep(0.1)
+        self.assertEqual(b"ok", (await self.exchange()).body)
+        self.assertEqual(2, connections)
+
+    async def test_an_early_answer_ends_the_connection(self) -> None:
+        async def script(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(WHOLE)
+            await reader.read(1000)
+
+        await self.start(script)
+        body = b"x" * 20_000_000
+        headers = [(b"host", b"a"), (ID, b"1")]
+        data = encode_request(Request(b"POST", b"/", headers, body))
+        response = await self.pool.exchange(self.address, data, echo=b"1")
+        self.assertFalse(response.reusable)
+
+    async def test_nothing_listens(self) -> None:
+        await self.answer_with(WHOLE)
+        self.server.close()
+        await self.server.wait_closed()
+        with self.assertRaises(ConnectError):
+            await self.exchange()
+
+    async def test_a_kept_connection_is_used_within_its_time(self) -> None:
+        connections = 0
+
+        async def script(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal connections
+            connections += 1
+            while await reader.read(1000):
+                head = b"HTTP/1.1 200 OK\r\nx-id: 1\r\nkeep-alive: timeout=1\r\n"
+                writer.write(head + b"content-length: 0\r\n\r\n")
+
+        await self.start(script)
+        await self.exchange()
+        await self.exchange()
+        self.assertEqual(1, connections)
+        await asyncio.sleep(0.6)
+        await self.exchange()
+        self.assertEqual(2, connections)
+
+
+class ListeningServer(unittest.IsolatedAsyncioTestCase):
+    """The server's side against raw bytes of callers."""
+
+    async def asyncSetUp(self) -> None:
+        self.address = Address("127.0.0.1", draw_port())
+        self.cancelled = 0
+        self.seen: list[Request] = []
+        self.server = HttpServer(
+            loop=asyncio.get_running_loop(),
+            serve=self.serve,
+            refuse=refuse_bytes,
+            limits=lambda: LIMITS,
+        )
+        await self.server.listen(self.address)
+        self.addCleanup(self.server.close)
+        self.reader, self.writer = await asyncio.open_connection(*self.address)
+        self.addCleanup(self.writer.close)
+
+    async def serve(self, request: Request) -> Response:
+        self.seen.append(request)
+        try:
+            await asyncio.sleep(0.1 if b"slow" in request.target else 0.0)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        return Response(200, [], request.target)
+
+    async def read(self, count: int = 4096) -> bytes:
+        async with asyncio.timeout(2.0):
+            return await self.reader.read(count)
+
+    async def test_pipelined_requests_are_answered_in_order(self) -> None:
+        first = b"GET /slow HTTP/1.1\r\nhost: a\r\n\r\n"
+        second = b"GET /quick HTTP/1.1\r\nhost: a\r\n\r\n"
+        self.writer.write(first + second)
+        text = await self.read() + await self.read(0)
+        while b"/quick" not in text:
+            text += await self.read()
+        self.assertLess(text.index(b"/slow"), text.index(b"/quick"))
+
+    async def test_a_chunked_body_is_joined(self) -> None:
+        head = b"POST /x HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+        self.writer.write(head + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+        await self.read()
+        self.assertEqual(b"abcde", self.seen[0].body)
+
+    async def test_two_lengths_never_get_through(self) -> None:
+        head = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n"
+        self.writer.write(head + b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n")
+        self.assertIn(b" 400 ", await self.read())
+        self.assertEqual([], self.seen)
+
+    async def test_a_head_that_is_too_large(self) -> None:
+        self.writer.write(b"GET / HTTP/1.1\r\nx: " + b"a" * 600 + b"\r\n\r\n")
+        self.assertIn(b" 431 ", await self.read())
+        self.assertEqual([], self.seen)
+
+    async def test_a_body_that_is_too_large(self) -> None:
+        head = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 200\r\n\r\n"
+        self.writer.write(head + b"a" * 200)
+        self.assertIn(b" 413 ", await self.read())
+        self.assertEqual([], self.seen)
+
+    async def test_bytes_that_are_no_request(self) -> None:
+        self.writer.write(b"\x00\x01\x02\r\n\r\n")
+        self.assertIn(b" 400 ", await self.read())
+        self.assertEqual(b"", await self.read())
+
+    async def test_a_caller_that_is_gone_cancels_its_requests(self) -> None:
+        self.writer.write(b"GET /slow HTTP/1.1\r\nhost: a\r\n\r\n")
+        await asyncio.sleep(0.02)
+        self.writer.close()
+        await asyncio.sleep(0.05)
+        self.assertEqual(1, self.cancelled)
+
+    async def test_a_slow_head_ends_the_connection(self) -> None:
+        self.writer.write(b"GET / HTTP/1.1\r\nho")
+        await asyncio.sleep(0.3)
+        self.server.close_idle(asyncio.get_running_loop().time())
+        with self.assertRaises((ConnectionResetError, EOFError)):
+            if await self.read() == b"":
+                raise EOFError
+
+    async def test_an_idle_connection_is_closed(self) -> None:
+        await asyncio.sleep(0.3)
+        self.server.close_idle(asyncio.get_running_loop().time())
+        self.assertEqual(b"", await self.read())
+
+    async def test_a_stop_closes_with_the_last_answer(self) -> None:
+        self.writer.write(b"GET /slow HTTP/1.1\r\nhost: a\r\n\r\n")
+        await asyncio.sleep(0.02)
+        self.server.stop()
+        answer = await self.read()
+        self.assertIn(b"connection: close", answer)
+        self.assertTrue(answer.endswith(b"/slow"))
+        self.assertEqual(b"", await self.read())
--- /dev/null
+++ b/tests/relay/test_routing.py
@@ -0,0 +1,115 @@
+"""Tests of look-ups in a configuration, and of what is in force."""
+
+import unittest
+from collections import Counter
+
+from lavenderway_core.ids import RouteId, ServiceId, WorkspaceId
+from lavenderway_relay.model import Configuration, Route, Share, Workspace
+from lavenderway_relay.routing import RouteTable, SplitCounter
+
+
+def make_route(
+    name: str, prefix: bytes, *, priority: int = 1, shares: tuple[Share, ...] = ()
+) -> Route:
+    return Route(
+        id=RouteId(name),
+        authority="app.example",
+        prefix=prefix,
+        idempotent=True,
+        timeout_s=1.0,
+        target_s=0.1,
+        priority=priority,
+        shares=shares or (Share(ServiceId("s"), 1.0),),
+        max_attempts=2,
+        public=False,
+    )
+
+
+def make_table(*routes: Route, **priorities: int | None) -> RouteTable:
+    workspaces = {
+        WorkspaceId(name): Workspace(
+            id=WorkspaceId(name), priority=priority, rate_per_s=0.0, burst=0.0
+        )
+        for name, priority in priorities.items()
+    }
+    keys = {name.encode(): WorkspaceId(name) for name in priorities}
+    return RouteTable(
+        configuration=Configuration(
+            version=1, routes=routes, workspaces=workspaces, workspace_of_key=keys
+        )
+    )
+
+
+class RouteLookup(unittest.TestCase):
+    """The longest prefix of the host's routes decides."""
+
+    def setUp(self) -> None:
+        self.outer = make_route("outer", b"/a/")
+        self.inner = make_route("inner", b"/a/b/")
+        self.table = make_table(self.outer, self.inner)
+
+    def find(self, authority: bytes, target: bytes) -> Route | None:
+        return self.table.find_route(authority, target)
+
+    def test_longest_prefix(self) -> None:
+        self.assertEqual(self.inner, self.find(b"app.example", b"/a/b/c"))
+        self.assertEqual(self.outer, self.find(b"app.example", b"/a/x"))
+
+    def test_the_query_is_no_part_of_the_path(self) -> None:
+        self.assertEqual(self.outer, self.find(b"app.example", b"/a/?x=/a/b/"))
+        self.assertIsNone(self.find(b"app.example", b"/?/a/"))
+
+    def test_host_with_port_or_capitals(self) -> None:
+        self.assertEqual(self.outer, self.find(b"App.Example:80", b"/a/"))
+
+    def test_no_route(self) -> None:
+        self.assertIsNone(self.find(b"other.example", b"/a/"))
+        self.assertIsNone(self.find(b"app.example", b"/a"))
+
+
+class KeyLookup(unittest.TestCase):
+    """A bearer key names its workspace."""
+
+    def test_keys(self) -> None:
+        table = make_table(make_route("r", b"/"), coulee=None)
+        self.assertEqual("coulee", table.find_workspace(b"Bearer coulee"))
+        self.assertEqual("coulee", table.find_workspace(b"bearer  coulee"))
+        for value in (None, b"", b"coulee", b"Basic coulee", b"Bearer other"):
+            with self.subTest(value=value):
+                self.assertIsNone(table.find_workspace(value))
+
+
+class ImportanceClasses(unittest.TestCase):
+    """The workspace's priority goes before the route's."""
+
+    def test_order(self) -> None:
+        high = make_route("high", b"/h/", priority=0)
+        low = make_route("low", b"/l/", priority=2)
+        table = make_table(high, low, big=1, small=0)
+        ranks = [
+            table.rank(route, WorkspaceId(name))
+            for name in ("small", "big")
+            for route in (high, low)
+        ]
+        self.assertEqual(sorted(ranks), ranks)
+        self.assertEqual(4, len(set(ranks)))
+
+
+class Splits(unittest.TestCase):
+    """Requests are dealt in proportion to weight, in short windows too."""
+
+    def test_proportions(self) -> None:
+        shares = (Share(ServiceId("a"), 90.0), Share(ServiceId("b"), 10.0))
+        route = make_route("r", b"/", shares=shares)
+        counter = SplitCounter()
+        for _ in range(5):
+            picked = Counter(counter.pick(route) for _ in range(20))
+            self.assertEqual({"a": 18, "b": 2}, dict(picked))
+
+    def test_new_shares_start_afresh(self) -> None:
+        counter = SplitCounter()
+        shares = (Share(ServiceId("a"), 1.0), Share(ServiceId("b"), 1.0))
+        counter.pick(make_route("r", b"/", shares=shares))
+        changed = (Share(ServiceId("a"), 1.0), Share(ServiceId("c"), 1.0))
+        route = make_route("r", b"/", shares=changed)
+        self.assertEqual({"a", "c"}, {counter.pick(route) for _ in range(2)})
