--- a/packages/lavenderway-dev/lavenderway_dev/mesh_fleet.py
+++ b/packages/lavenderway-dev/lavenderway_dev/mesh_fleet.py
@@ -16,7 +16,7 @@
 from lavenderway_relay.model import Address
 from lavenderway_relay.pools import ConnectError, ConnectionBrokenError, ConnectionPool
 
-from lavenderway_dev.mesh_store import MetadataStore, draw_port
+from lavenderway_dev.mesh_store import MetadataStore, StoreFaults, draw_port
 from lavenderway_dev.mesh_upstream import Server, ServerPlan
 
 if TYPE_CHECKING:
@@ -44,15 +44,14 @@
     Args:
         plan: What is on the host.
         folder: Where its settings and log lie.
-        store_address: Where the store listens.
-
     """
 
-    def __init__(self, *, plan: HostPlan, folder: Path, store_address: Address) -> None:
+    def __init__(self, *, plan: HostPlan, folder: Path) -> None:
         self.plan = plan
+        self.faults = StoreFaults()
         self.log_path = folder / f"{plan.name}.log"
         self._settings_path = folder / f"{plan.name}.toml"
-        self._store_address = store_address
+        self.store_address = Address(LOOPBACK, draw_port())
         ports = [Address(LOOPBACK, draw_port()) for _ in range(5)]
         self.callers, self.peers, self.readiness, self.control, self.app = ports
         self.process: asyncio.subprocess.Process | None = None
@@ -113,7 +112,7 @@
 [bounds]
 grace = "{GRACE_S}s"
 [platform]
-address = "{self._store_address}"
+address = "{self.store_address}"
 """
 
 
@@ -129,7 +128,7 @@
     def __init__(self, plans: list[HostPlan], *, config: dict[str, Any]) -> None:
         self._plans = plans
         self._folder = tempfile.TemporaryDirectory()
-        self._store_server: HttpServer | None = None
+        self._store_listeners: list[HttpServer] = []
         self._pool: ConnectionPool
         self._ids = 0
         self.config = config
@@ -142,13 +141,13 @@
             loop=asyncio.get_running_loop(), connect_timeout_s=1.0
         )
         self.store = MetadataStore()
-        address = Address(LOOPBACK, draw_port())
-        self._store_server = await self.store.listen(address)
         self.configure(self.config)
         folder = Path(self._folder.name)
         for plan in self._plans:
-            host = MeshHost(plan=plan, folder=folder, store_address=address)
+            host = MeshHost(plan=plan, folder=folder)
             self.hosts[plan.name] = host
+            listener = await self.store.listen(host.store_address, host.faults)
+            self._store_listeners.append(listener)
             await host.start_node()
         for host in self.hosts.values():
             await self.wait_until_ready(host)
@@ -170,9 +169,9 @@
                 with contextlib.suppress(ProcessLookupError):
                     process.kill()
                 await process.wait()
-        if self._store_server is not None:
-            self._store_server.close()
-            for connection in tuple(self._store_server.connections):
+        for listener in self._store_listeners:
+            listener.close()
+            for connection in tuple(listener.connections):
                 connection.abort()
         self._folder.cleanup()
 
--- a/packages/lavenderway-dev/lavenderway_dev/mesh_store.py
+++ b/packages/lavenderway-dev/lavenderway_dev/mesh_store.py
@@ -6,7 +6,7 @@
 import random
 import socket
 from base64 import b64decode, b64encode
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qsl, urlsplit
 
@@ -29,22 +29,18 @@
         silent: Whether calls get no answer.
         delay_s: Time that each answer takes, in seconds.
         lose_writes: Writes still to be done without an answer.
-        turned_away: Sources, by ip, that get no service.
-
     """
 
     refuse_with: int = 0
     silent: bool = False
     delay_s: float = 0.0
     lose_writes: int = 0
-    turned_away: set[str] = field(default_factory=set)
 
 
 class MetadataStore:
     """Tables of rows with one version counter and feeds."""
 
     def __init__(self) -> None:
-        self.faults = StoreFaults()
         self.version = 0
         self.calls = 0
         self._rows: dict[tuple[str, str], tuple[int, bytes]] = {}
@@ -52,10 +48,14 @@
         self._oldest = 0
         self._changed = asyncio.Event()
 
-    async def listen(self, address: Address) -> HttpServer:
-        """Serve the store at an address."""
+    async def listen(self, address: Address, faults: StoreFaults) -> HttpServer:
+        """Serve the store at an address, with faults of its own."""
+
+        async def serve(request: Request) -> Response:
+            return await self._serve(request, faults)
+
         server = HttpServer(
-            loop=asyncio.get_running_loop(), serve=self._serve, refuse=refuse_bytes
+            loop=asyncio.get_running_loop(), serve=serve, refuse=refuse_bytes
         )
         await server.listen(address)
         return server
@@ -79,9 +79,8 @@
         self._history.clear()
         self._oldest = self.version
 
-    async def _serve(self, request: Request) -> Response:
+    async def _serve(self, request: Request, faults: StoreFaults) -> Response:
         self.calls += 1
-        faults = self.faults
         if faults.silent:
             await asyncio.sleep(3600)
         if faults.refuse_with:
@@ -95,7 +94,7 @@
         if parts.path == "/v1/rows-feed":
             return await self._feed(query)
         if parts.path == "/v1/rows-tx":
-            return await self._transact(orjson.loads(request.body))
+            return await self._transact(orjson.loads(request.body), faults)
         return Response(404, [], b"")
 
     def _read(self, query: dict[str, str]) -> Response:
@@ -124,7 +123,7 @@
             except TimeoutError:
                 continue
 
-    async def _transact(self, body: dict[str, Any]) -> Response:
+    async def _transact(self, body: dict[str, Any], faults: StoreFaults) -> Response:
         for row in body["expected"]:
             known = self._rows.get((row["table"], row["key"]), (0, b""))
             if known[0] != row["ver"]:
@@ -136,8 +135,8 @@
                 return self._answer({"rows": found}, status=412)
         for row in body["set-keys"]:
             self.put(row["table"], row["key"], b64decode(row["value"]))
-        if self.faults.lose_writes > 0:
-            self.faults.lose_writes -= 1
+        if faults.lose_writes > 0:
+            faults.lose_writes -= 1
             await asyncio.sleep(3600)
         return self._answer({})
 
--- /dev/null
+++ b/tests/end_to_end/test_mesh.py
@@ -0,0 +1,306 @@
+"""Real node processes on loopback, beside stand-ins of the users' platform."""
+
+import asyncio
+import signal
+import time
+import unittest
+from typing import Any
+
+from lavenderway_dev.mesh_fleet import HostPlan, MeshFleet, make_config, make_route
+from lavenderway_dev.mesh_upstream import Call, ServerPlan
+from lavenderway_relay.http import Response
+from lavenderway_relay.pools import ConnectError, ConnectionBrokenError
+
+KEY = "key-of-coulee"
+TENANTS: dict[str, dict[str, Any]] = {
+    "coulee": {"api-keys": [KEY], "rate-per-s": 1000, "burst": 1000}
+}
+ROUTES = {
+    "front": make_route("/front/", "front", public=False),
+    "back": make_route("/back/", "back"),
+    "order": make_route("/order/", "back", kind="unsafe"),
+    "slow": make_route("/slow/", "slow", timeout="400ms"),
+}
+
+
+def make_hosts() -> list[HostPlan]:
+    """Return two hosts of `back`, one of `front` that calls it, one of `slow`."""
+    calls = {"/front/": [Call(authority="app.example", path="/back/call", times=2)]}
+    front = ServerPlan(service="front", calls=calls)
+    back = ServerPlan(service="back")
+    return [
+        HostPlan(name="front", zone="east", server=front),
+        HostPlan(name="back1", zone="east", server=back),
+        HostPlan(name="back2", zone="west", server=back),
+        HostPlan(
+            name="slow", zone="west", server=ServerPlan(service="slow", work_s=5.0)
+        ),
+    ]
+
+
+class MeshCase(unittest.IsolatedAsyncioTestCase):
+    """A fleet of four hosts for each test."""
+
+    async def asyncSetUp(self) -> None:
+        config = make_config(1, ROUTES, TENANTS)
+        self.fleet = MeshFleet(make_hosts(), config=config)
+        await self.enterAsyncContext(self.fleet)
+        self.servers = {name: host.server for name, host in self.fleet.hosts.items()}
+
+    async def get(self, path: str, host: str = "front", **options: Any) -> Response:
+        return await self.fleet.send(host, path, **options)
+
+    def count_runs(self, prefix: bytes) -> int:
+        """Return how often servers ran requests for a path."""
+        return sum(
+            run.target.startswith(prefix)
+            for server in self.servers.values()
+            for run in server.runs
+        )
+
+
+class ServingRequests(MeshCase):
+    """A request runs with its calls, and bears only what it should."""
+
+    async def test_a_request_with_calls(self) -> None:
+        response = await self.get("/front/x", host="slow", key=KEY)
+        self.assertEqual((200, b"served /front/x"), (response.status, response.body))
+        self.assertEqual(2, self.count_runs(b"/back/call"))
+        (run,) = self.servers["front"].runs
+        self.assertEqual(b"coulee", run.header(b"lavenderway-tenant"))
+        self.assertEqual(b"slow", run.header(b"lavenderway-caller-service"))
+        self.assertIsNone(run.header(b"authorization"))
+        self.assertLessEqual(int(run.header(b"lavenderway-deadline-ms") or 0), 3000)
+        names = {name for name, _ in run.headers}
+        self.assertNotIn(b"lavenderway-hop", names)
+
+    async def test_a_caller_cannot_name_its_workspace(self) -> None:
+        forged = (
+            (b"lavenderway-tenant", b"other"),
+            (b"lavenderway-caller-service", b"other"),
+            (b"lavenderway-hop", b"[]"),
+        )
+        await self.get("/front/x", key=KEY, headers=forged)
+        (run,) = self.servers["front"].runs
+        tenants = [v for k, v in run.headers if k == b"lavenderway-tenant"]
+        self.assertEqual([b"coulee"], tenants)
+
+    async def test_refusals(self) -> None:
+        for path, key, status in (
+            ("/front/x", None, 401),
+            ("/front/x", "other", 401),
+            ("/none/", KEY, 404),
+        ):
+            with self.subTest(path=path, key=key):
+                self.assertEqual(status, (await self.get(path, key=key)).status)
+        self.assertEqual(0, self.count_runs(b"/"))
+
+    async def test_the_time_out_of_a_route(self) -> None:
+        started = time.monotonic()
+        response = await self.get("/slow/x")
+        self.assertEqual(504, response.status)
+        self.assertAlmostEqual(0.4, time.monotonic() - started, delta=0.3)
+        await asyncio.sleep(0.3)
+        self.assertEqual(1, self.servers["slow"].cancelled)
+
+    async def test_a_caller_that_leaves_ends_the_work(self) -> None:
+        sending = asyncio.create_task(self.get("/slow/x"))
+        await asyncio.sleep(0.15)
+        sending.cancel()
+        await asyncio.sleep(0.15)
+        self.assertEqual(1, self.servers["slow"].cancelled)
+
+    async def test_a_failed_order_is_not_repeated(self) -> None:
+        for server in (self.servers["back1"], self.servers["back2"]):
+            server.spoil = "unsigned"
+        response = await self.get("/order/x", method="POST", body=b"one")
+        self.assertEqual(502, response.status)
+        self.assertEqual(1, self.count_runs(b"/order/"))
+
+    async def test_an_answer_to_another_request_never_arrives(self) -> None:
+        for server in (self.servers["back1"], self.servers["back2"]):
+            server.spoil = "foreign"
+        response = await self.get("/back/x", deadline_ms=500)
+        self.assertIn(response.status, (502, 504))
+
+
+class LeavingUpstreams(MeshCase):
+    """An upstream whose departure is acknowledged gets no new requests."""
+
+    async def send_many(self, count: int) -> list[int]:
+        answers = [self.get(f"/back/{number}") for number in range(count)]
+        return [answer.status for answer in await asyncio.gather(*answers)]
+
+    async def test_no_request_after_the_acknowledgement(self) -> None:
+        await self.send_many(20)
+        leaving = self.servers["back1"]
+        self.assertEqual(200, await leaving.leave())
+        before = len(leaving.runs)
+        self.assertEqual({200}, set(await self.send_many(40)))
+        self.assertEqual(before, len(leaving.runs))
+
+    async def test_a_departure_outlives_the_node(self) -> None:
+        host = self.fleet.hosts["back1"]
+        self.assertEqual(200, await self.servers["back1"].leave())
+        host.signal(signal.SIGKILL)
+        await host.wait()
+        await host.start_node()
+        await self.fleet.wait_until_ready(host)
+        before = len(self.servers["back1"].runs)
+        self.servers["back1"].state = "ready"
+        await self.servers["back1"].beat_once(sequence=1)
+        self.servers["back1"].state = "draining"
+        self.assertEqual({200}, set(await self.send_many(40)))
+        self.assertEqual(before, len(self.servers["back1"].runs))
+
+    async def test_an_acknowledgement_while_the_store_is_away(self) -> None:
+        host = self.fleet.hosts["back1"]
+        host.faults.refuse_with = 503
+        self.assertEqual(200, await self.servers["back1"].leave())
+        before = len(self.servers["back1"].runs)
+        self.assertEqual({200}, set(await self.send_many(40)))
+        self.assertEqual(before, len(self.servers["back1"].runs))
+
+
+class PlannedStops(MeshCase):
+    """A node that is told to stop cuts nothing."""
+
+    async def test_under_load(self) -> None:
+        stopping = asyncio.Event()
+        statuses: list[int] = []
+
+        async def load(host: str) -> None:
+            while not stopping.is_set():
+                response = await self.get("/front/x", host=host, key=KEY)
+                statuses.append(response.status)
+
+        tasks = [
+            asyncio.create_task(load(host)) for host in ("slow", "back2") for _ in "abc"
+        ]
+        await asyncio.sleep(0.3)
+        host = self.fleet.hosts["back1"]
+        host.signal(signal.SIGTERM)
+        self.assertEqual(0, await host.wait())
+        await host.start_node()
+        await self.fleet.wait_until_ready(host)
+        stopping.set()
+        await asyncio.gather(*tasks)
+        self.assertGreater(len(statuses), 50)
+        self.assertEqual({200}, set(statuses))
+
+    async def test_callers_of_the_stopping_node(self) -> None:
+        host = self.fleet.hosts["back1"]
+        sending = [
+            asyncio.create_task(self.get("/back/x", host="back1")) for _ in range(20)
+        ]
+        await asyncio.sleep(0)
+        host.signal(signal.SIGTERM)
+        answers = await asyncio.gather(*sending)
+        self.assertEqual({200}, {answer.status for answer in answers})
+        self.assertEqual(0, await host.wait())
+
+
+class Configurations(MeshCase):
+    """A configuration is in force on all nodes soon, and never reverts."""
+
+    async def wait_for(self, path: str, status: int, host: str) -> float:
+        """Return the seconds until a path gives a status."""
+        started = time.monotonic()
+        async with asyncio.timeout(8.0):
+            while (await self.get(path, host=host, key=KEY)).status != status:
+                await asyncio.sleep(0.02)
+        return time.monotonic() - started
+
+    async def test_a_new_route_and_a_withdrawn_key(self) -> None:
+        routes = {**ROUTES, "new": make_route("/new/", "back")}
+        self.fleet.configure(make_config(2, routes, {"coulee": {"api-keys": []}}))
+        for host in self.fleet.hosts:
+            self.assertLess(await self.wait_for("/new/x", 200, host), 1.0)
+            self.assertLess(await self.wait_for("/front/x", 401, host), 1.0)
+
+    async def test_an_older_version_changes_nothing(self) -> None:
+        routes = {**ROUTES, "new": make_route("/new/", "back")}
+        self.fleet.configure(make_config(5, routes, TENANTS))
+        await self.wait_for("/new/x", 200, "front")
+        self.fleet.configure(make_config(4, ROUTES, TENANTS))
+        await asyncio.sleep(0.3)
+        self.assertEqual(200, (await self.get("/new/x")).status)
+
+    async def test_a_node_that_the_store_turns_away_hears_it_from_others(self) -> None:
+        host = self.fleet.hosts["front"]
+        for version, fault in enumerate(("refuse_with", "silent"), start=2):
+            with self.subTest(fault):
+                setattr(host.faults, fault, 503)
+                name = f"/{fault}/"
+                routes = {**ROUTES, "new": make_route(name, "back")}
+                self.fleet.configure(make_config(version, routes, TENANTS))
+                await self.get("/front/x", host="back1", key=KEY)
+                await self.get("/back/x", host="front")
+                self.assertLess(await self.wait_for(f"{name}x", 200, "front"), 5.0)
+                setattr(host.faults, fault, 0)
+
+    async def test_a_compacted_history(self) -> None:
+        self.fleet.store.compact()
+        routes = {**ROUTES, "new": make_route("/new/", "back")}
+        self.fleet.configure(make_config(3, routes, TENANTS))
+        self.fleet.store.compact()
+        self.assertLess(await self.wait_for("/new/x", 200, "front"), 2.0)
+
+
+class Recovery(MeshCase):
+    """After the loss of all processes the fleet serves again by itself."""
+
+    async def restart_all(self) -> None:
+        for host in self.fleet.hosts.values():
+            host.signal(signal.SIGKILL)
+            await host.wait()
+        for host in self.fleet.hosts.values():
+            await host.start_node()
+
+    async def test_all_killed(self) -> None:
+        await self.restart_all()
+        for host in self.fleet.hosts.values():
+            await self.fleet.wait_until_ready(host)
+        async with asyncio.timeout(5.0):
+            while (await self.get("/front/x", key=KEY)).status != 200:
+                await asyncio.sleep(0.05)
+
+    async def test_unready_until_a_configuration_is_known(self) -> None:
+        for host in self.fleet.hosts.values():
+            host.faults.refuse_with = 503
+        await self.restart_all()
+        status = 0
+        async with asyncio.timeout(10.0):
+            while status == 0:
+                try:
+                    status = (await self.get("/front/x", key=KEY)).status
+                except (ConnectError, ConnectionBrokenError):
+                    await asyncio.sleep(0.05)
+        self.assertEqual(503, status)
+        for host in self.fleet.hosts.values():
+            host.faults.refuse_with = 0
+            await self.fleet.wait_until_ready(host)
+        async with asyncio.timeout(5.0):
+            while (await self.get("/front/x", key=KEY)).status != 200:
+                await asyncio.sleep(0.05)
+
+
+class Rates(MeshCase):
+    """A workspace's rate and burst count over all hosts together."""
+
+    async def test_a_busy_workspace(self) -> None:
+        tenants = {"coulee": {"api-keys": [KEY], "rate-per-s": 40, "burst": 20}}
+        self.fleet.configure(make_config(2, ROUTES, tenants))
+        await asyncio.sleep(0.7)
+        started = time.monotonic()
+        passed = 0
+        while (elapsed := time.monotonic() - started) < 2.5:
+            hosts = ("front", "back1") if elapsed < 1.2 else ("slow",)
+            for host in hosts:
+                response = await self.get("/front/x", host=host, key=KEY)
+                passed += response.status == 200
+                if response.status != 200:
+                    self.assertEqual(429, response.status)
+                    self.assertIsNotNone(response.header(b"retry-after"))
+        self.assertLessEqual(passed, 40 * 2.5 + 20 + 2)
+        self.assertGreaterEqual(passed, 0.6 * 40 * 2.5)
--- a/tests/relay/test_http.py
+++ b/tests/relay/test_http.py
@@ -111,6 +111,7 @@
         await asyncio.sleep(0.1)
         self.assertEqual(b"ok", (await self.exchange()).body)
         self.assertEqual(2, connections)
+        await asyncio.sleep(0.1)  # the script runs to its end
 
     async def test_an_early_answer_ends_the_connection(self) -> None:
         async def script(
