Move the level by the rate of arriving work

Ruled out: a knee of the servers, whose run times hardly change with concurrency; waits at the gate, 90 % under 10 ms. Change: the level follows arriving work against slots and corrects half of the error once a tree has run through. Loans may be parts of a token, and more lenders are asked.

--- a/packages/lavenderway-relay/lavenderway_relay/admission.py
+++ b/packages/lavenderway-relay/lavenderway_relay/admission.py
@@ -12,8 +12,6 @@
 
 from lavenderway_core.ids import ServiceId
 
-from lavenderway_relay.pressure import RISE_PER_S
-
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -22,6 +20,7 @@
 LEVEL_LIFETIME_S = 3.0  # a host that is silent longer says nothing about its service
 TREE_GAIN = 0.1  # weight of the newest request in the learned calls of a route
 MIN_CALLS = 0.05  # services called less often by a route do not hold it back
+RISE_PER_S = 0.5  # in classes; how fast a level is expected to recover
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 2.0
 
--- a/packages/lavenderway-relay/lavenderway_relay/hosting.py
+++ b/packages/lavenderway-relay/lavenderway_relay/hosting.py
@@ -88,7 +88,12 @@
         """Move the pressure level and close idle connections."""
         self._pressure.resize(self._state.class_count)
         before = self._pressure.level
-        self._pressure.tick(now, load=self._gate.load, mean_s=self._gate.mean_s)
+        self._pressure.tick(
+            now,
+            waiting=self._gate.waiting,
+            limit=self._gate.limit,
+            mean_s=self._gate.mean_s,
+        )
         level = self._pressure.level
         if level < before:
             self._state.log.state(
@@ -96,7 +101,7 @@
                 now,
                 level=round(level, 3),
                 before=round(before, 3),
-                load=round(self._gate.load, 2),
+                demand=round(self._pressure.demand, 3),
                 mean_ms=round(self._gate.mean_s * 1e3, 1),
             )
         self._pool.close_idle(now)
@@ -118,7 +123,6 @@
         started = self._loop.time()
         elapsed_s: float | None = None
         try:
-            self._pressure.record_start(started - received)
             upstream = self._upstream
             if upstream is None or not self._state.takes_requests:
                 return self._refused(Outcome.ABSENT)
@@ -147,7 +151,6 @@
         if verdict is Verdict.START:
             return True
         if verdict is Verdict.REFUSE:
-            self._pressure.record_refusal()
             return False
         waiter: asyncio.Future[bool] = self._loop.create_future()
         self._waiters[ticket] = waiter
@@ -167,7 +170,6 @@
     def _expire(self, ticket: Ticket) -> None:
         waiter = self._waiters.get(ticket)
         if waiter is not None and not waiter.done():
-            self._pressure.record_refusal()
             self._gate.withdraw(ticket)
             waiter.set_result(False)
 
--- a/packages/lavenderway-relay/lavenderway_relay/http.py
+++ b/packages/lavenderway-relay/lavenderway_relay/http.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import socket
+import struct
 from collections import deque
 from http import HTTPStatus
 from typing import TYPE_CHECKING, NamedTuple, cast
@@ -48,6 +49,7 @@
     }
 )
 _REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+_NO_LINGER = struct.pack("ii", 1, 0)
 _BODYLESS = frozenset({204, 304})
 
 
@@ -543,8 +545,15 @@
             raise
 
     def abort(self) -> None:
-        """End the connection at once."""
+        """End the connection at once, with a reset.
+
+        A reset also takes back what the network has not delivered yet: a request
+        that is held up by a partition does not arrive after it was given up.
+        """
         self.broken = True
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None and not self._transport.is_closing():
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
         self._transport.abort()
 
     def on_message_begin(self) -> None:
--- a/packages/lavenderway-relay/lavenderway_relay/links.py
+++ b/packages/lavenderway-relay/lavenderway_relay/links.py
@@ -32,7 +32,7 @@
 
 CONNECT_TIMEOUT_S = 0.3  # many times the way between failure domains
 TALK_TIMEOUT_S = 0.3  # a node answers another's question from memory
-LENDERS_ASKED = 4  # hosts asked for tokens in one round
+LENDERS_ASKED = 8  # hosts asked for tokens in one round
 TOKENS_TARGET = b"/lavenderway/tokens"
 STATE_TARGET = b"/lavenderway/state"
 
@@ -160,7 +160,7 @@
         peers.sort(key=lambda _: self._random())
         near = [p for p in peers if p.failure_domain == own.failure_domain]
         far = [p for p in peers if p.failure_domain != own.failure_domain]
-        return (near[: LENDERS_ASKED - 1] + far)[:LENDERS_ASKED]
+        return (near[: LENDERS_ASKED // 2] + far)[:LENDERS_ASKED]
 
     def _forward(self, request: Request, hop: Hop) -> Request:
         headers = strip_headers(request.headers, self._state.dialect.stripped)
--- a/packages/lavenderway-relay/lavenderway_relay/model.py
+++ b/packages/lavenderway-relay/lavenderway_relay/model.py
@@ -200,6 +200,8 @@
         store_address: Address of the store.
         grace_s: Time from the request to stop to the forced end, in seconds.
         announcement_interval_s: Usual time between two announcements, in seconds.
+        extra_burst: Requests over rate and burst that a workspace may send in a
+            window, over all hosts.
 
     """
 
@@ -211,3 +213,4 @@
     store_address: Address
     grace_s: float
     announcement_interval_s: float
+    extra_burst: float = 0.0
--- a/packages/lavenderway-relay/lavenderway_relay/node.py
+++ b/packages/lavenderway-relay/lavenderway_relay/node.py
@@ -18,6 +18,7 @@
 from lavenderway_relay.peers import Peers
 from lavenderway_relay.placement import Placement
 from lavenderway_relay.pressure import TICK_S
+from lavenderway_relay.quota import QuotaShares
 from lavenderway_relay.refusals import refuse_bytes
 from lavenderway_relay.state import NodeState
 from lavenderway_relay.store import Store
@@ -93,6 +94,7 @@
             log=log,
             placement=placement,
             own=OwnUpstream(interval_s=settings.announcement_interval_s),
+            quota=QuotaShares(extra_burst=settings.extra_burst),
         )
         self._hosting = Hosting(state=self.state, loop=loop)
         self._links = Links(
--- a/packages/lavenderway-relay/lavenderway_relay/pressure.py
+++ b/packages/lavenderway-relay/lavenderway_relay/pressure.py
@@ -5,22 +5,28 @@
 drawn from its id. An upstream under pressure publishes a level, and the nodes where
 requests begin admit roots below the level of every service in their call tree. The most
 important are shed last, and all calls of a root share its fate.
+
+The level follows the rate of arriving work, not the length of the queue: a queue is the
+sum of past excess, and a cut by its length empties the upstream.
 """
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections import deque
 from typing import NamedTuple
 
 TICK_S = 0.1  # how often the level may move
-SETTLE_S = 0.3  # a cut shows in the queue after one call tree has run through
-WAIT_TARGET_S = 0.02  # wait that is lost in the time of most requests
-WAIT_TARGET_PART = 0.35  # of the mean run, for upstreams with long runs
-UTILIZATION_TARGET = 0.95  # occupancy up to which the level rises
-MIN_CUT = 0.04  # part of the offered load
-MAX_CUT = 0.5
-RISE_PER_S = 0.35  # in classes; a class returns within three seconds
-MEMORY_S = 1.0  # arrivals that a cut looks back on
+SETTLE_S = 0.4  # a move shows at the upstream after one call tree has run through
+MEMORY_S = 0.4  # arrivals that a move looks back on
+DRAIN_S = 0.6  # time in which a queue is worked off
+TARGET = 0.95  # part of the slots that the admitted work should take
+TOLERANCE = 1.0  # above it the level falls
+GAIN = 0.5  # part of the error that one move corrects
+MAX_CUT = 0.4  # part of the arriving work
+MAX_RISE = 0.5  # in classes
+MIN_RISE = 0.03  # in classes, so that a class without arrivals is tried
+MIN_ARRIVALS = 8  # fewer say nothing about a rate
 TOLD_S = 3.0  # time for which a full level is told after it was lower
 
 
@@ -41,12 +47,9 @@
     def __init__(self, *, classes: int, now: float) -> None:
         self.classes = float(classes)
         self.level = self.classes
+        self.demand = 0.0
         self._arrivals: deque[_Arrival] = deque()
-        self._waits = 0.0
-        self._starts = 0
-        self._refused = 0
-        self._last_cut = now
-        self._last_tick = now
+        self._moved_at = now
         self._lowered_at = float("-inf")
 
     def told(self, now: float) -> bool:
@@ -64,45 +67,61 @@
         """Count a request that wants a slot."""
         self._arrivals.append(_Arrival(now, position))
 
-    def record_start(self, wait_s: float) -> None:
-        """Count a request that got a slot after waiting."""
-        self._waits += wait_s
-        self._starts += 1
-
-    def record_refusal(self) -> None:
-        """Count a request that found no room."""
-        self._refused += 1
-
-    def tick(self, now: float, *, load: float, mean_s: float) -> None:
+    def tick(self, now: float, *, waiting: int, limit: int, mean_s: float) -> None:
         """Move the level.
 
         Args:
             now: Present time in seconds.
-            load: Running and waiting requests for each slot.
+            waiting: Requests that wait for a slot.
+            limit: Requests that may run at the same time.
             mean_s: Mean time that a request holds a slot, in seconds.
 
         """
-        elapsed = now - self._last_tick
-        self._last_tick = now
         while self._arrivals and self._arrivals[0].at < now - MEMORY_S:
             self._arrivals.popleft()
-        wait_s = self._waits / self._starts if self._starts else 0.0
-        target_s = max(WAIT_TARGET_S, WAIT_TARGET_PART * mean_s)
-        congested = load > 1.0 and (wait_s > target_s or self._refused > 0)
-        if congested and now - self._last_cut >= SETTLE_S:
-            self._cut(now, load=load)
-        elif not congested and load < UTILIZATION_TARGET:
-            self.level = min(self.classes, self.level + RISE_PER_S * elapsed)
+        slot_s = mean_s / limit
+        work = len(self._arrivals) / MEMORY_S * slot_s
+        self.demand = work + waiting * slot_s / DRAIN_S
         if self.level < self.classes:
             self._lowered_at = now
-        self._waits, self._starts, self._refused = 0.0, 0, 0
-
-    def _cut(self, now: float, *, load: float) -> None:
-        """Lower the level so that the excess share of recent arrivals lies above."""
-        self._last_cut = now
-        share = min(MAX_CUT, max(MIN_CUT, 1.0 - 1.0 / load))
-        positions = sorted(arrival.position for arrival in self._arrivals)
-        if not positions:
+        if now - self._moved_at < SETTLE_S:
             return
-        kept = positions[int(len(positions) * (1.0 - share))]
+        if self.demand > TOLERANCE and len(self._arrivals) >= MIN_ARRIVALS:
+            self._moved_at = now
+            self._cut()
+        elif self.demand < TARGET and self.level < self.classes:
+            self._moved_at = now
+            self._raise()
+
+    def _cut(self) -> None:
+        """Lower the level so that the excess part of recent arrivals lies above."""
+        excess = GAIN * (1.0 - TARGET / self.demand)
+        part = min(MAX_CUT, excess)
+        positions = sorted(arrival.position for arrival in self._arrivals)
+        kept = positions[int(len(positions) * (1.0 - part))]
         self.level = min(self.level, kept)
+
+    def _raise(self) -> None:
+        """Raise the level by what fills the free slots, at the density below it."""
+        positions = sorted(arrival.position for arrival in self._arrivals)
+        admitted = bisect_left(positions, self.level)
+        if admitted < MIN_ARRIVALS or self.demand <= 0.0:
+            step = MAX_RISE
+        else:
+            wanted = GAIN * (TARGET / self.demand - 1.0) * admitted
+            step = wanted / self._density(positions, admitted)
+        step = max(MIN_RISE, min(MAX_RISE, step))
+        self.level = min(self.classes, self.level + step)
+
+    def _density(self, positions: list[float], admitted: int) -> float:
+        """Return the arrivals for each class just below the level.
+
+        A class that is nearly shut has too few arrivals to tell; the mean of the
+        classes below then stands in for it.
+        """
+        floor = float(int(self.level))
+        width = self.level - floor
+        if width < 0.1:
+            return admitted / max(1.0, self.level)
+        inside = admitted - bisect_left(positions, floor)
+        return max(1.0, inside) / width
--- a/packages/lavenderway-relay/lavenderway_relay/quota.py
+++ b/packages/lavenderway-relay/lavenderway_relay/quota.py
@@ -21,7 +21,8 @@
 LOW_MARK_S = 0.15  # of the local demand; below it tokens are asked for ahead of need
 LOAN_S = 0.5  # of the local demand; what one loan should last
 RESERVE_S = 0.3  # of the lender's own demand; what it keeps
-MIN_LOAN = 1.0
+MIN_LOAN = 0.2  # tokens; a host may hold less than one for a small workspace
+MIN_WISH = 1.0  # tokens, for the request at hand
 DEMAND_GAIN = 0.3  # weight of the newest tick in the demand
 PAUSE_S = 0.1  # between two rounds of asking that brought nothing
 
@@ -47,9 +48,16 @@
 
 
 class QuotaShares:
-    """This host's part of every workspace's rate and burst."""
+    """This host's part of every workspace's rate and burst.
 
-    def __init__(self) -> None:
+    Args:
+        extra_burst: Tokens added to the burst of each workspace, over all hosts, for
+            what is bound up in loans and parts of a token.
+
+    """
+
+    def __init__(self, *, extra_burst: float = 0.0) -> None:
+        self._extra_burst = extra_burst
         self._allowances: dict[WorkspaceId, _Allowance] = {}
         self._last_tick = 0.0
 
@@ -69,7 +77,7 @@
             del self._allowances[gone]
         for workspace in limited.values():
             rate_per_s = workspace.rate_per_s * part
-            burst = workspace.burst * part
+            burst = (workspace.burst + self._extra_burst) * part
             known = self._allowances.get(workspace.id)
             if known is None:
                 bucket = TokenBucket(rate_per_s=rate_per_s, burst=burst, now=now)
@@ -83,10 +91,11 @@
         if allowance is None:
             return True
         allowance.asked += 1
-        if allowance.borrowed >= 1.0:
-            allowance.borrowed -= 1.0
-            return True
-        return allowance.bucket.take(1.0, now)
+        from_bucket = max(0.0, 1.0 - allowance.borrowed)
+        if from_bucket and not allowance.bucket.take(from_bucket, now):
+            return False
+        allowance.borrowed -= 1.0 - from_bucket
+        return True
 
     def give_back(self, workspace: WorkspaceId) -> None:
         """Return the token of a request that reached no upstream."""
@@ -129,7 +138,7 @@
         allowance = self._allowances.get(workspace)
         if allowance is None or now < allowance.pause_until:
             return None
-        return Wish(workspace, max(MIN_LOAN, allowance.demand_per_s * LOAN_S))
+        return Wish(workspace, max(MIN_WISH, allowance.demand_per_s * LOAN_S))
 
     def pause(self, workspace: WorkspaceId, now: float) -> None:
         """Ask for nothing for a while after a round that brought nothing."""
--- a/packages/lavenderway-relay/lavenderway_relay/state.py
+++ b/packages/lavenderway-relay/lavenderway_relay/state.py
@@ -45,10 +45,10 @@
     log: LogStream
     placement: Placement
     own: OwnUpstream
+    quota: QuotaShares
     metrics: Metrics = field(default_factory=Metrics)
     admission: RootAdmission = field(default_factory=RootAdmission)
     lineage: Lineage = field(default_factory=Lineage)
-    quota: QuotaShares = field(default_factory=QuotaShares)
     roster: Roster = field(default_factory=Roster)
     splits: SplitCounter = field(default_factory=SplitCounter)
     table: RouteTable | None = None
--- a/tests/relay/test_http.py
+++ b/tests/relay/test_http.py
@@ -128,6 +128,26 @@
         response = await self.pool.exchange(self.address, data, echo=b"1")
         self.assertFalse(response.reusable)
 
+    async def test_a_given_up_request_is_taken_back(self) -> None:
+        ends: list[BaseException | bytes] = []
+
+        async def script(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            try:
+                ends.append(await reader.read())
+            except ConnectionResetError as error:
+                ends.append(error)
+            writer.close()
+
+        await self.start(script)
+        sending = asyncio.create_task(self.exchange())
+        await asyncio.sleep(0.05)
+        sending.cancel()
+        await asyncio.sleep(0.05)
+        self.assertIsInstance(ends[0], ConnectionResetError)
+
     async def test_nothing_listens(self) -> None:
         await self.answer_with(WHOLE)
         self.server.close()
