Ask unreachable hosts apart from requests, and bound the wait for loans

Cause: a round of loans asked lenders one after another and waited 0.3 s for each that is gone, with callers waiting behind it; every 3 s a request was spent on finding out whether a host is back. Change: lenders are asked three at a time and callers wait 0.1 s at most; an unreachable host is probed in the background and gets requests again once it has answered or has started anew (its record tells when). A caller's half-close cancels its requests at once. Hop code reads its headers once.

--- a/packages/lavenderway-relay/lavenderway_relay/http.py
+++ b/packages/lavenderway-relay/lavenderway_relay/http.py
@@ -31,6 +31,7 @@
 KEEPALIVE_IDLE_S = 1  # probes start soon, since a cut connection sends no reset
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+HEADER_OVERHEAD_BYTES = 4  # colon, space and line end of a header
 MAX_ANSWER_BYTES = 67_108_864  # far over any answer; bounds a runaway upstream
 
 HOP_BY_HOP = frozenset(
@@ -50,6 +51,8 @@
 )
 _REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 _NO_LINGER = struct.pack("ii", 1, 0)
+_USUAL_CONNECTION = frozenset({b"close", b"keep-alive"})  # name no header
+_FRAMING = frozenset({b"content-length", b"transfer-encoding"})
 _BODYLESS = frozenset({204, 304})
 
 
@@ -74,7 +77,6 @@
 
     Attributes:
         reusable: Whether the connection may carry another request.
-        keep_alive_s: Idle time that the peer allows, if it says one, in seconds.
 
     """
 
@@ -82,7 +84,6 @@
     headers: Headers
     body: bytes
     reusable: bool = True
-    keep_alive_s: float | None = None
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header."""
@@ -129,16 +130,17 @@
         stripped: Names that are left out, those of one connection among them.
 
     """
-    kept = [header for header in headers if header[0] not in stripped]
-    named = {
-        part.strip().lower()
-        for name, value in headers
-        if name == b"connection"
-        for part in value.split(b",")
-    }
-    if named - {b"close", b"keep-alive"}:
-        kept = [header for header in kept if header[0] not in named]
-    return kept
+    kept = []
+    connection = b""
+    for header in headers:
+        if header[0] not in stripped:
+            kept.append(header)
+        elif header[0] == b"connection":
+            connection += b"," + header[1]
+    if not connection or connection[1:].lower() in _USUAL_CONNECTION:
+        return kept
+    named = {part.strip().lower() for part in connection.split(b",")}
+    return [header for header in kept if header[0] not in named]
 
 
 def detect_silence(transport: asyncio.BaseTransport) -> None:
@@ -177,11 +179,13 @@
         "_body",
         "_body_bytes",
         "_discarding",
+        "_expects",
         "_fails_with",
         "_head_bytes",
         "_headers",
         "_in_message",
         "_keep_alive",
+        "_open_bytes",
         "_parser",
         "_paused",
         "_pending",
@@ -204,6 +208,8 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._head_bytes = 0
+        self._open_bytes = 0
+        self._expects = False
         self._in_message = False
         self._keep_alive = True
         self._paused = False
@@ -232,17 +238,21 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel what the caller no longer waits for."""
-        self.closing = True
         self._server.connections.discard(self)
-        for pending in self._pending:
-            if pending.task is not None:
-                pending.task.cancel()
-        self._pending.clear()
+        self._abandon()
 
     def eof_received(self) -> bool:
         """Close: a caller that stops sending is gone."""
+        self._abandon()
         return False
 
+    def _abandon(self) -> None:
+        self.closing = True
+        for pending in self._pending:
+            if pending.task is not None:
+                pending.task.cancel()
+        self._pending.clear()
+
     def pause_writing(self) -> None:
         """Stop reading while the caller does not read its responses."""
         self._write_paused = True
@@ -257,8 +267,6 @@
         """Parse what has arrived."""
         if self._discarding:
             return
-        if self.message_since is not None or not self._in_message:
-            self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -266,9 +274,14 @@
         except httptools.HttpParserError:
             self._fail(self._fails_with or HTTPStatus.BAD_REQUEST)
         else:
-            limit = self._server.limits().head_bytes
-            if self.message_since is not None and self._head_bytes > limit:
-                self._fail(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+            if self.message_since is not None:
+                self._bound_open_head(len(data))
+
+    def _bound_open_head(self, arrived: int) -> None:
+        """Refuse a head that is too large before it has ended."""
+        self._open_bytes += arrived
+        if self._open_bytes > self._server.limits().head_bytes:
+            self._fail(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def on_message_begin(self) -> None:
         """Start a request."""
@@ -276,6 +289,9 @@
         self._target = b""
         self._body = []
         self._body_bytes = 0
+        self._head_bytes = 0
+        self._open_bytes = 0
+        self._expects = False
         self._in_message = True
         self.message_since = self._server.loop.time()
 
@@ -285,17 +301,19 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take a header."""
-        self._headers.append((name.lower(), value))
+        name = name.lower()
+        self._headers.append((name, value))
+        self._head_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
+        if name == b"expect":
+            self._expects = True
 
     def on_headers_complete(self) -> None:
         """Check the head's size, and let a caller that asks send its body."""
-        size = len(self._target) + sum(len(n) + len(v) + 4 for n, v in self._headers)
-        self._head_bytes = 0
         self.message_since = None
+        size = self._head_bytes + len(self._target)
         if size > self._server.limits().head_bytes:
             self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-        expects = any(name == b"expect" for name, _ in self._headers)
-        if expects and not self._pending:
+        if self._expects and not self._pending:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
@@ -308,7 +326,6 @@
     def on_message_complete(self) -> None:
         """Start to answer the request."""
         self._in_message = False
-        self._head_bytes = 0
         if not self._parser.should_keep_alive():
             self._keep_alive = False
         body = b"".join(self._body)
@@ -464,6 +481,7 @@
         "_echo",
         "_echo_header",
         "_ends_with_connection",
+        "_framed",
         "_head_only",
         "_headers",
         "_parser",
@@ -487,6 +505,7 @@
         self._size = 0
         self._status = 0
         self._head_only = False
+        self._framed = False
         self._ends_with_connection = False
         self.broken = False
         self.idle_since = 0.0
@@ -563,21 +582,25 @@
         self._headers = []
         self._body = []
         self._size = 0
+        self._framed = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take a header."""
-        self._headers.append((name.lower(), value))
+        name = name.lower()
+        self._headers.append((name, value))
+        if name in _FRAMING:
+            self._framed = True
+        elif name == b"keep-alive":
+            self.keep_alive_s = _parse_keep_alive(value)
 
     def on_headers_complete(self) -> None:
         """Find out how the body ends."""
         self._status = self._parser.get_status_code()
-        if self._status < HTTPStatus.OK:
+        if self._status < 200:
             return
-        framed = any(
-            name in (b"content-length", b"transfer-encoding")
-            for name, _ in self._headers
+        self._ends_with_connection = not self._framed and (
+            self._status not in _BODYLESS
         )
-        self._ends_with_connection = not framed and self._status not in _BODYLESS
         if self._head_only:
             self._finish(reusable=False)
 
@@ -590,7 +613,7 @@
 
     def on_message_complete(self) -> None:
         """Hand over a whole response, unless it belongs to another request."""
-        if self._status < HTTPStatus.OK:
+        if self._status < 200:
             return
         if self._answers_another():
             return
@@ -610,8 +633,6 @@
         if waiter is None or waiter.done():
             return
         unsent = self._transport.get_write_buffer_size() > 0
-        keep_alive_s = _parse_keep_alive(self._headers)
-        self.keep_alive_s = keep_alive_s
         self._waiter = None
         if unsent or not reusable:
             self.broken = True
@@ -620,7 +641,6 @@
             self._headers,
             b"".join(self._body),
             reusable and not unsent,
-            keep_alive_s,
         )
         waiter.set_result(response)
 
@@ -631,13 +651,10 @@
             waiter.set_exception(ConnectionBrokenError(reason))
 
 
-def _parse_keep_alive(headers: Headers) -> float | None:
+def _parse_keep_alive(value: bytes) -> float | None:
     """Return the idle time-out that a `Keep-Alive` header states, in seconds."""
-    for name, value in headers:
-        if name != b"keep-alive":
-            continue
-        for part in value.split(b","):
-            key, _, text = part.strip().partition(b"=")
-            if key.lower() == b"timeout" and text.isdigit():
-                return float(text)
+    for part in value.split(b","):
+        key, _, text = part.strip().partition(b"=")
+        if key.lower() == b"timeout" and text.isdigit():
+            return float(text)
     return None
--- a/packages/lavenderway-relay/lavenderway_relay/links.py
+++ b/packages/lavenderway-relay/lavenderway_relay/links.py
@@ -32,7 +32,9 @@
 
 CONNECT_TIMEOUT_S = 0.3  # many times the way between failure domains
 TALK_TIMEOUT_S = 0.3  # a node answers another's question from memory
-LENDERS_ASKED = 8  # hosts asked for tokens in one round
+BORROW_WAIT_S = 0.1  # a refusal over the rate is not kept waiting for longer
+LENDERS_AT_ONCE = 3
+LENDERS_ASKED = 9  # hosts asked for tokens in one round
 TOKENS_TARGET = b"/lavenderway/tokens"
 STATE_TARGET = b"/lavenderway/state"
 
@@ -114,48 +116,52 @@
                 )
             answer = orjson.loads(response.body)
         except (TimeoutError, ConnectError, ConnectionBrokenError, ValueError) as error:
-            self._state.log.failure(
-                "peer.silent",
-                self._loop.time(),
-                peer=record.host,
-                target=target,
-                error=str(error) or type(error).__name__,
-            )
+            self._suspect(record, error)
             return None
         return answer if isinstance(answer, dict) else None
 
     async def borrow(self, wish: Wish) -> None:
-        """Ask other hosts for tokens; callers that wait share one round."""
+        """Ask other hosts for tokens; callers that wait share one round.
+
+        Returns after `BORROW_WAIT_S` at the latest; tokens that come later are kept.
+        """
         task = self._borrowing.get(wish.workspace)
         if task is None:
             task = self._loop.create_task(self._borrow(wish))
             self._borrowing[wish.workspace] = task
-        await asyncio.shield(task)
+        await asyncio.wait((task,), timeout=BORROW_WAIT_S)
 
     async def _borrow(self, wish: Wish) -> None:
+        lenders = self._pick_lenders()
         try:
             got = 0.0
-            for record in self._pick_lenders():
-                question = {"workspace": wish.workspace, "amount": wish.amount - got}
-                answer = await self.ask(record, TOKENS_TARGET, question)
-                granted = answer.get("granted") if answer else None
-                if isinstance(granted, int | float) and granted > 0:
-                    got += granted
-                    self._state.quota.receive(wish.workspace, granted)
-                if got >= wish.amount:
-                    break
+            while lenders and got < wish.amount:
+                asked, lenders = lenders[:LENDERS_AT_ONCE], lenders[LENDERS_AT_ONCE:]
+                part = (wish.amount - got) / len(asked)
+                loans = (self._ask_lender(each, wish.workspace, part) for each in asked)
+                got += sum(await asyncio.gather(*loans))
             if not got:
                 self._state.quota.pause(wish.workspace, self._loop.time())
         finally:
             del self._borrowing[wish.workspace]
 
+    async def _ask_lender(
+        self, record: HostRecord, workspace: WorkspaceId, amount: float
+    ) -> float:
+        question = {"workspace": workspace, "amount": amount}
+        answer = await self.ask(record, TOKENS_TARGET, question)
+        granted = answer.get("granted") if answer else None
+        if not isinstance(granted, int | float) or granted <= 0:
+            return 0.0
+        self._state.quota.receive(workspace, float(granted))
+        return float(granted)
+
     def _pick_lenders(self) -> list[HostRecord]:
         own = self._state.settings
-        now = self._loop.time()
         peers = [
             peer
             for peer in self._state.roster.peers(own.host)
-            if self._state.placement.reachable(peer.host, now)
+            if self._state.placement.reachable(peer.host)
         ]
         peers.sort(key=lambda _: self._random())
         near = [p for p in peers if p.failure_domain == own.failure_domain]
@@ -169,16 +175,30 @@
 
     def _suspect(self, record: HostRecord, error: Exception) -> None:
         now = self._loop.time()
-        period_s = self._state.placement.suspect(record.host, now)
+        new = self._state.placement.suspect(record.host, now)
         self._pool.drop(record.address)
-        self._state.log.state(
-            "peer.suspected",
-            now,
-            peer=record.host,
-            for_s=period_s,
-            error=str(error),
-        )
+        if new:
+            self._state.log.state(
+                "peer.lost",
+                now,
+                peer=record.host,
+                error=str(error) or type(error).__name__,
+            )
+
+    async def _probe(self, record: HostRecord) -> None:
+        """Ask a host that could not be reached whether it is back."""
+        question = {
+            "config": self._state.config_version,
+            "revision": self._state.roster.revision,
+        }
+        if await self.ask(record, STATE_TARGET, question) is not None:
+            self._state.placement.trust(record.host)
+            self._state.log.state("peer.regained", self._loop.time(), peer=record.host)
 
     def tick(self, now: float) -> None:
-        """Close idle connections."""
+        """Close idle connections, and ask for hosts that could not be reached."""
         self._pool.close_idle(now)
+        for host in self._state.placement.due_probes(now):
+            record = self._state.roster.find(host)
+            if record is not None and record.serving:
+                self._loop.create_task(self._probe(record))
--- a/packages/lavenderway-relay/lavenderway_relay/model.py
+++ b/packages/lavenderway-relay/lavenderway_relay/model.py
@@ -159,6 +159,7 @@
         failure_domain: Failure domain of the host.
         serving: False from the moment at which its node is told to stop.
         upstream: The upstream on the host, if one has announced itself.
+        started_ms: Wall-clock start of the node process, in milliseconds.
         revision: Version of the stored row; 0 for a record that is not stored yet.
 
     """
@@ -168,6 +169,7 @@
     failure_domain: FailureDomainId
     serving: bool
     upstream: Upstream | None
+    started_ms: int = 0
     revision: int = 0
 
     @property
--- a/packages/lavenderway-relay/lavenderway_relay/node.py
+++ b/packages/lavenderway-relay/lavenderway_relay/node.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import signal
+import time
 from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -95,6 +96,7 @@
             placement=placement,
             own=OwnUpstream(interval_s=settings.announcement_interval_s),
             quota=QuotaShares(extra_burst=settings.extra_burst),
+            started_ms=int(time.time() * 1000),
         )
         self._hosting = Hosting(state=self.state, loop=loop)
         self._links = Links(
--- a/packages/lavenderway-relay/lavenderway_relay/placement.py
+++ b/packages/lavenderway-relay/lavenderway_relay/placement.py
@@ -18,14 +18,15 @@
     from lavenderway_relay.model import HostRecord
 
 INITIAL_MEAN_S = 0.05  # expected run on a host that has not told its own
+OWN_HOST_FACTOR = 0.9  # a request that needs no other node saves a hop
 OTHER_DOMAIN_FACTOR = 1.35  # delay for which a request stays in its failure domain
 LOAD_WEIGHT = 0.6  # growth of the delay with the fill of the slots
 QUEUE_WEIGHT = 3.0  # further growth for each queued request a slot
 FAILURE_GAIN = 0.1  # weight of the newest outcome in the failure ratio
 FAILURE_WEIGHT = 4.0  # growth of the delay with the failure ratio
 NOISE = 0.1  # part of the delay that is random, so that nodes do not move together
-SUSPICION_S = 0.5  # first time for which an unreachable host is passed over
-MAX_SUSPICION_S = 3.0
+PROBE_S = 0.4  # first pause before an unreachable host is asked again
+MAX_PROBE_S = 2.0  # a partition that heals is noticed within this time
 REPORT_LIFETIME_S = 1.0  # an older report of load counts as half full
 FADE_S = 5.0  # failures are forgotten over this time
 
@@ -41,8 +42,9 @@
     outstanding: int = 0
     failures: float = 0.0
     failed_at: float = -1e9
-    suspected_until: float = -1e9
-    suspicion_s: float = SUSPICION_S
+    suspected: bool = False
+    probe_at: float = 0.0
+    probe_s: float = PROBE_S
     tried: bool = False
 
 
@@ -90,8 +92,8 @@
             if record.host in excluded:
                 continue
             standing = self._standing(record.host)
-            if standing.suspected_until > now:
-                suspects.append((standing.suspected_until, record))
+            if standing.suspected:
+                suspects.append((standing.probe_at, record))
                 continue
             if not standing.tried and record.host != self._host:
                 standing.tried = True
@@ -118,8 +120,8 @@
         standing.mean_s = mean_s
         standing.reported_at = now
         standing.outstanding_at_report = standing.outstanding
-        standing.suspicion_s = SUSPICION_S
-        standing.suspected_until = now
+        standing.suspected = False
+        standing.probe_s = PROBE_S
 
     def record_outcome(self, host: HostId, *, failed: bool, now: float) -> None:
         """Take in whether the upstream of a host failed a request."""
@@ -130,17 +132,33 @@
         if failed:
             standing.failed_at = now
 
-    def suspect(self, host: HostId, now: float) -> float:
-        """Pass over a host that cannot be reached; return for how long, in seconds."""
+    def suspect(self, host: HostId, now: float) -> bool:
+        """Pass over a host that cannot be reached; return whether that is new."""
         standing = self._standing(host)
-        period_s = standing.suspicion_s
-        standing.suspected_until = now + period_s
-        standing.suspicion_s = min(MAX_SUSPICION_S, period_s * 2)
-        return period_s
-
-    def reachable(self, host: HostId, now: float) -> bool:
+        new = not standing.suspected
+        standing.suspected = True
+        standing.probe_at = now + standing.probe_s
+        standing.probe_s = min(MAX_PROBE_S, standing.probe_s * 2)
+        return new
+
+    def trust(self, host: HostId) -> None:
+        """Send requests again to a host that has answered."""
+        standing = self._standing(host)
+        standing.suspected = False
+        standing.probe_s = PROBE_S
+
+    def due_probes(self, now: float) -> list[HostId]:
+        """Return the unreachable hosts that are to be asked again now."""
+        due = []
+        for host, standing in self._standings.items():
+            if standing.suspected and standing.probe_at <= now:
+                standing.probe_at = now + standing.probe_s
+                due.append(host)
+        return due
+
+    def reachable(self, host: HostId) -> bool:
         """Return whether a host is not passed over now."""
-        return self._standing(host).suspected_until <= now
+        return not self._standing(host).suspected
 
     def renew(self, host: HostId) -> None:
         """Forget what was seen of a host whose upstream or node is a new one."""
@@ -162,7 +180,9 @@
         if standing.failures > 0.0:
             fading = max(0.0, 1.0 - (now - standing.failed_at) / FADE_S)
             delay *= 1.0 + FAILURE_WEIGHT * standing.failures * fading
-        if record.failure_domain != self._failure_domain:
+        if record.host == self._host:
+            delay *= OWN_HOST_FACTOR
+        elif record.failure_domain != self._failure_domain:
             delay *= OTHER_DOMAIN_FACTOR
         return delay * (1.0 + NOISE * self._random())
 
--- a/packages/lavenderway-relay/lavenderway_relay/records.py
+++ b/packages/lavenderway-relay/lavenderway_relay/records.py
@@ -53,6 +53,7 @@
         "address": str(record.address),
         "domain": record.failure_domain,
         "serving": record.serving,
+        "started": record.started_ms,
     }
     if upstream is not None:
         fields["upstream"] = {
@@ -86,6 +87,7 @@
         failure_domain=FailureDomainId(fields["domain"]),
         serving=bool(fields["serving"]),
         upstream=upstream,
+        started_ms=int(fields["started"]),
         revision=revision,
     )
 
--- a/packages/lavenderway-relay/lavenderway_relay/state.py
+++ b/packages/lavenderway-relay/lavenderway_relay/state.py
@@ -9,7 +9,6 @@
 from lavenderway_relay.lineage import Lineage
 from lavenderway_relay.metrics import Metrics
 from lavenderway_relay.model import Limits, UpstreamStatus
-from lavenderway_relay.quota import QuotaShares
 from lavenderway_relay.roster import Roster
 from lavenderway_relay.routing import RouteTable, SplitCounter
 
@@ -19,6 +18,7 @@
     from lavenderway_relay.logs import LogStream
     from lavenderway_relay.model import Configuration, NodeSettings
     from lavenderway_relay.placement import Placement
+    from lavenderway_relay.quota import QuotaShares
 
 DEFAULT_CLASSES = 4  # importance classes until a configuration is known
 
@@ -37,6 +37,7 @@
             first one is known.
         document: The configuration in force as it was stored.
         serving: False from the moment at which the node is told to stop.
+        started_ms: Wall-clock start of the process, in milliseconds.
 
     """
 
@@ -54,6 +55,7 @@
     table: RouteTable | None = None
     document: bytes = b""
     serving: bool = True
+    started_ms: int = 0
 
     @property
     def config_version(self) -> int:
--- a/packages/lavenderway-relay/lavenderway_relay/sync.py
+++ b/packages/lavenderway-relay/lavenderway_relay/sync.py
@@ -130,6 +130,7 @@
             failure_domain=settings.failure_domain,
             serving=self._state.serving,
             upstream=self._state.own.current,
+            started_ms=self._state.started_ms,
             revision=known.revision if known else ABSENT,
         )
 
@@ -340,7 +341,7 @@
     """Return whether a host has a new node or upstream since it was last seen."""
     if known is None:
         return False
-    if record.serving and not known.serving:
+    if record.started_ms != known.started_ms:
         return True
     if record.upstream is None or known.upstream is None:
         return record.upstream is not known.upstream
