--- a/packages/lavenderway-cli/lavenderway_cli/application.py
+++ b/packages/lavenderway-cli/lavenderway_cli/application.py
@@ -6,6 +6,8 @@
 import json
 import os
 import secrets
+import sys
+from contextlib import ExitStack
 from hashlib import sha256
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -18,10 +20,11 @@
 
 from lavenderway_cli.client import Api, ApiError
 from lavenderway_cli.fields import parse_fields
+from lavenderway_cli.logs import LogFilter, format_record, select_records
 from lavenderway_cli.tables import build_rows, describe_force, format_table
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Coroutine, Iterable
 
 VERSION = "0.1.0"
 KINDS = ("workspaces", "keys", "routes", "upstreams", "hosts")
@@ -312,6 +315,57 @@
         return self._run(self._show(api, f"/v1/explain/{root}"))
 
 
+class LogsCommand(Command):
+    """Filters and merges the logs of nodes."""
+
+    name = "logs"
+    description = "Show log lines of nodes in order of time, filtered."
+    arguments = [  # noqa: RUF012
+        argument("files", "Log files; standard input if none.", optional=True, multiple=True)
+    ]
+    options = [  # noqa: RUF012
+        option("request", "r", "Id of a request; its calls too.", flag=False),
+        option("workspace", "w", "Workspace of the request.", flag=False),
+        option("host", None, "Host that wrote the line.", flag=False),
+        option("event", "e", "Start of the event's name.", flag=False),
+        option("since", None, "Earliest Unix time in seconds.", flag=False),
+        option("until", None, "Latest Unix time in seconds.", flag=False),
+        option("output", "o", "timeline or json.", flag=False, default="timeline"),
+    ]
+
+    def handle(self) -> int:
+        """Run the command; return the exit code."""
+        try:
+            records = self._select()
+        except (OSError, ValueError) as error:
+            self.line_error(str(error))
+            return EXIT_USAGE
+        for record in records:
+            if self.option("output") == "json":
+                self.line(json.dumps(record))
+            else:
+                self.line(format_record(record, origin=float(records[0]["time"])))
+        return 0 if records else EXIT_REFUSED
+
+    def _select(self) -> list[dict[str, Any]]:
+        since, until = self.option("since"), self.option("until")
+        wanted = LogFilter(
+            request=self.option("request"),
+            workspace=self.option("workspace"),
+            host=self.option("host"),
+            event=self.option("event"),
+            since=float(since) if since else None,
+            until=float(until) if until else None,
+        )
+        names = self.argument("files")
+        with ExitStack() as stack:
+            sources: list[Iterable[str]] = [
+                stack.enter_context(Path(name).open(encoding="utf-8", errors="replace"))
+                for name in names
+            ]
+            return select_records(sources or [sys.stdin], wanted)
+
+
 def _digest(secret: str) -> str:
     return sha256(secret.encode()).hexdigest()
 
@@ -326,6 +380,7 @@
         StatusCommand(),
         HistogramsCommand(),
         ExplainCommand(),
+        LogsCommand(),
     ):
         application.add(command)
     return application
--- /dev/null
+++ b/tests/cli/test_logs.py
@@ -0,0 +1,69 @@
+"""Tests of the reader of nodes' logs."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from cleo.testers.command_tester import CommandTester
+from lavenderway_cli.application import build_application
+from lavenderway_cli.logs import LogFilter, select_records
+
+
+def make_line(time: float, event: str, **fields: Any) -> str:
+    return json.dumps({"time": time, "host": "h", "event": event, **fields})
+
+
+LINES = [
+    make_line(3.0, "request.refused", request="ab", workspace="w", reason="over-rate"),
+    "12.3 node-1 " + make_line(1.0, "request.shed", request="ab.1"),
+    make_line(2.0, "store.lost", table="op"),
+    make_line(2.5, "request.answered", request="abc"),
+    "Traceback (most recent call last):",
+    "{not json",
+]
+
+
+class LogSelection(unittest.TestCase):
+    """Lines are filtered and merged in order of time."""
+
+    def select(self, **wanted: Any) -> list[str]:
+        found = select_records([LINES[:2], LINES[2:]], LogFilter(**wanted))
+        return [record["event"] for record in found]
+
+    def test_all_lines_in_order(self) -> None:
+        events = ["request.shed", "store.lost", "request.answered", "request.refused"]
+        self.assertEqual(events, self.select())
+
+    def test_a_request_with_its_calls(self) -> None:
+        self.assertEqual(["request.shed", "request.refused"], self.select(request="ab"))
+
+    def test_other_filters(self) -> None:
+        self.assertEqual(["request.refused"], self.select(workspace="w"))
+        self.assertEqual(["store.lost"], self.select(event="store."))
+        self.assertEqual(["store.lost"], self.select(since=2.0, until=2.2))
+        self.assertEqual([], self.select(host="other"))
+
+
+class LogsCommandLine(unittest.TestCase):
+    """The command shows a timeline, and says what it could not use."""
+
+    def run_command(self, words: str) -> CommandTester:
+        tester = CommandTester(build_application().find("logs"))
+        tester.execute(words)
+        return tester
+
+    def test_a_timeline(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "node.log"
+            path.write_text("\n".join(LINES), encoding="utf-8")
+            tester = self.run_command(f"{path} --request ab")
+        self.assertEqual(0, tester.status_code)
+        shown = tester.io.fetch_output().splitlines()
+        self.assertEqual(2, len(shown))
+        self.assertIn("+2.000 s", shown[1])
+        self.assertIn("reason=over-rate", shown[1])
+
+    def test_a_missing_file(self) -> None:
+        self.assertEqual(2, self.run_command("/nonexistent/x.log").status_code)
