Tell a reset from the end of an answer without length

A replay with a line at each end of such an answer showed ends of 13 to 535 of 600 bytes reported as end of stream: libuv reports a hang-up after data so, without reading on to the error. Ruled out: framing with a length; a reset on an idle loop, which arrives as one. Change: one more read tells them apart, and only an end of stream completes an answer. The test fails without the change.

--- a/packages/lavenderway-cli/lavenderway_cli/application.py
+++ b/packages/lavenderway-cli/lavenderway_cli/application.py
@@ -321,7 +321,9 @@
     name = "logs"
     description = "Show log lines of nodes in order of time, filtered."
     arguments = [  # noqa: RUF012
-        argument("files", "Log files; standard input if none.", optional=True, multiple=True)
+        argument(
+            "files", "Log files; standard input if none.", optional=True, multiple=True
+        )
     ]
     options = [  # noqa: RUF012
         option("request", "r", "Id of a request; its calls too.", flag=False),
--- a/packages/lavenderway-relay/lavenderway_relay/http.py
+++ b/packages/lavenderway-relay/lavenderway_relay/http.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 import struct
 from collections import deque
@@ -519,17 +520,27 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End the request in progress."""
         self.broken = True
-        if self._ends_with_connection and exc is None:
-            self._finish(reusable=False)
         self._fail("connection lost" if exc is None else str(exc))
 
     def eof_received(self) -> bool:
         """Complete a response that ends with its connection."""
         self.broken = True
-        if self._ends_with_connection:
+        if self._ends_with_connection and not self._was_reset():
             self._finish(reusable=False)
         return False
 
+    def _was_reset(self) -> bool:
+        """Return whether what looks like the end of the stream is a reset.
+
+        libuv reports an end of stream for a hang-up that follows data without reading
+        on to the error; one more read tells them apart.
+        """
+        sock = self._transport.get_extra_info("socket")
+        try:
+            return os.read(sock.fileno(), 1) != b""
+        except OSError:
+            return True
+
     def data_received(self, data: bytes) -> None:
         """Parse what has arrived; bytes that nobody asked for end the connection."""
         if self._waiter is None:
--- a/tests/relay/test_http.py
+++ b/tests/relay/test_http.py
@@ -7,7 +7,13 @@
 from collections.abc import Awaitable, Callable
 
 from lavenderway_dev.mesh_store import draw_port
-from lavenderway_relay.http import HttpServer, Request, Response, encode_request
+from lavenderway_relay.http import (
+    ClientConnection,
+    HttpServer,
+    Request,
+    Response,
+    encode_request,
+)
 from lavenderway_relay.model import Address, Limits
 from lavenderway_relay.pools import ConnectError, ConnectionBrokenError, ConnectionPool
 from lavenderway_relay.refusals import refuse_bytes
@@ -176,6 +182,41 @@
         self.assertEqual(2, connections)
 
 
+class ResetAfterData(unittest.IsolatedAsyncioTestCase):
+    """A reset that the event loop reports as the end of the stream."""
+
+    async def finish(self, *, reset: bool) -> Response:
+        """Have an answer without length end, reported as an end of stream."""
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            transport, connection = await loop.create_connection(
+                lambda: ClientConnection(echo_header=ID), *listener.getsockname()
+            )
+            peer, _ = listener.accept()
+        self.addCleanup(transport.close)
+        waiting = asyncio.create_task(connection.exchange(make_get(), echo=b"1"))
+        await asyncio.sleep(0)
+        transport.pause_reading()
+        peer.recv(4096)
+        connection.data_received(b"HTTP/1.1 200 OK\r\nx-id: 1\r\n\r\npart")
+        if reset:
+            peer.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+        peer.close()
+        await asyncio.sleep(0.02)
+        connection.eof_received()
+        transport.abort()
+        return await waiting
+
+    async def test_a_reset_is_no_end(self) -> None:
+        with self.assertRaises(ConnectionBrokenError):
+            await self.finish(reset=True)
+
+    async def test_an_end_is_one(self) -> None:
+        self.assertEqual(b"part", (await self.finish(reset=False)).body)
+
+
 class ListeningServer(unittest.IsolatedAsyncioTestCase):
     """The server's side against raw bytes of callers."""
 
