Pass over upstreams that cannot be reached; keep the limit when a rejection is not about room

Cause: read while tracing: a host whose upstream is dark kept its low load and drew requests, each of which waited 0.5 s for a connection; and a server that rejects a part of all requests drove its limit to one, which the level then took for overload of the whole service. Change: the gate refuses for 0.2 to 1 s after a failed connection, entry nodes pass over such a host for 0.3 s, and a rejection with free slots leaves the limit.

--- a/packages/lavenderway-relay/lavenderway_relay/entry.py
+++ b/packages/lavenderway-relay/lavenderway_relay/entry.py
@@ -280,6 +280,8 @@
         state.placement.report(
             record.host, load=answer.load, mean_s=answer.mean_s, now=now
         )
+        if answer.outcome in (Outcome.ABSENT, Outcome.STOPPING):
+            state.placement.record_absence(record.host, now)
         failed = answer.outcome in (Outcome.REJECTED, Outcome.UNKNOWN)
         if hosted.response is not None and hosted.response.status in SERVER_ERRORS:
             failed = not answer.calls
--- a/packages/lavenderway-relay/lavenderway_relay/gate.py
+++ b/packages/lavenderway-relay/lavenderway_relay/gate.py
@@ -17,6 +17,7 @@
 INITIAL_MEAN_S = 0.05  # until the first run ends
 MIN_LIMIT = 1
 REJECT_CUT = 0.9  # factor of the limit after the upstream itself had no room
+FULL_PART = 0.75  # of the limit; with fewer running a rejection has another cause
 LIMIT_RECOVERY_PER_S = 0.25  # part of the slots won back in a second
 
 
@@ -116,8 +117,13 @@
             self._measured = True
 
     def reject(self, now: float) -> None:
-        """Lower the limit after the upstream had no room for a request."""
+        """Lower the limit after the upstream had no room for a request.
+
+        A rejection while many slots are free is not about room.
+        """
         self._recover(now)
+        if self.running < FULL_PART * self._limit:
+            return
         self._limit = max(MIN_LIMIT, min(self._limit, self.running) * REJECT_CUT)
 
     def start_next(self, now: float) -> Ticket | None:
--- a/packages/lavenderway-relay/lavenderway_relay/hosting.py
+++ b/packages/lavenderway-relay/lavenderway_relay/hosting.py
@@ -21,6 +21,9 @@
     from lavenderway_relay.state import NodeState
 
 CONNECT_TIMEOUT_S = 0.5  # on the same host; longer means that nothing listens
+UNACKNOWLEDGED_TIMEOUT_MS = 500  # on the same host nothing is on its way for longer
+FIRST_PAUSE_S = 0.2  # after a connection that could not be made
+MAX_PAUSE_S = 1.0  # an upstream that is back is noticed within this time
 FRESH_IDLE_S = 0.5  # a request that may run once uses no connection idle for longer
 MIN_SPARE_S = 0.002  # a request with less time left is not started
 
@@ -49,6 +52,8 @@
         self._pressure = PressureLevel(classes=state.class_count, now=now)
         self._waiters: dict[Ticket, asyncio.Future[bool]] = {}
         self._upstream: Upstream | None = None
+        self._unreachable_until = now
+        self._pause_s = FIRST_PAUSE_S
         self._pool = self._open_pool()
         self.stopping = False
 
@@ -81,6 +86,7 @@
                 self._gate.slots = upstream.slots
         if known is not None and known.id != upstream.id:
             self._pool = self._open_pool()
+            self._unreachable_until = self._loop.time()
         if not self._state.takes_requests:
             self._refuse_waiting()
 
@@ -116,6 +122,8 @@
         if upstream.service != hop.service:
             return self._refused(Outcome.ABSENT)
         received = self._loop.time()
+        if received < self._unreachable_until:
+            return self._refused(Outcome.ABSENT)
         expires = received + hop.deadline_s
         if not await self._wait_for_slot(hop, received):
             gone = not self._state.takes_requests
@@ -210,6 +218,7 @@
                 max_idle_s=10.0 if hop.idempotent else FRESH_IDLE_S,
             )
         except ConnectError as error:
+            self._pause(self._loop.time())
             self._log_failure("upstream.unreachable", request_id, error)
             return self._refused(Outcome.ABSENT)
         except ConnectionBrokenError as error:
@@ -217,6 +226,7 @@
             return self._hosted(Outcome.UNKNOWN, None, running, arrived=True)
         finally:
             self._state.lineage.end(request_id)
+        self._pause_s = FIRST_PAUSE_S
         finding = judge_response(response, request_id, dialect)
         outcome = _OUTCOMES[finding]
         if outcome is not Outcome.ANSWERED:
@@ -224,6 +234,12 @@
             return self._hosted(outcome, None, running, arrived=True)
         return self._hosted(outcome, response, running, arrived=True)
 
+    def _pause(self, now: float) -> None:
+        """Refuse requests for a while, as the upstream cannot be reached."""
+        if now >= self._unreachable_until:
+            self._unreachable_until = now + self._pause_s
+            self._pause_s = min(MAX_PAUSE_S, self._pause_s * 2)
+
     def _address(
         self, request: Request, hop: Hop, upstream: Upstream, left_s: float
     ) -> Request:
@@ -286,6 +302,7 @@
         return ConnectionPool(
             loop=self._loop,
             connect_timeout_s=CONNECT_TIMEOUT_S,
+            unacknowledged_timeout_ms=UNACKNOWLEDGED_TIMEOUT_MS,
             echo_header=self._state.dialect.request_id,
         )
 
--- a/packages/lavenderway-relay/lavenderway_relay/http.py
+++ b/packages/lavenderway-relay/lavenderway_relay/http.py
@@ -144,7 +144,10 @@
     return [header for header in kept if header[0] not in named]
 
 
-def detect_silence(transport: asyncio.BaseTransport) -> None:
+def detect_silence(
+    transport: asyncio.BaseTransport,
+    unacknowledged_timeout_ms: int = UNACKNOWLEDGED_TIMEOUT_MS,
+) -> None:
     """Make the kernel notice a peer that no longer answers."""
     sock = transport.get_extra_info("socket")
     if sock is None:
@@ -154,7 +157,7 @@
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, unacknowledged_timeout_ms)
 
 
 class _Pending:
@@ -474,6 +477,8 @@
     Args:
         echo_header: Header in which the peer repeats the request's id; None if it
             has none. A response with another id is discarded.
+        unacknowledged_timeout_ms: Time after which a peer that acknowledges nothing
+            counts as lost, in milliseconds.
 
     """
 
@@ -489,14 +494,21 @@
         "_size",
         "_status",
         "_transport",
+        "_unacknowledged_timeout_ms",
         "_waiter",
         "broken",
         "idle_since",
         "keep_alive_s",
     )
 
-    def __init__(self, *, echo_header: bytes | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        echo_header: bytes | None = None,
+        unacknowledged_timeout_ms: int = UNACKNOWLEDGED_TIMEOUT_MS,
+    ) -> None:
         self._echo_header = echo_header
+        self._unacknowledged_timeout_ms = unacknowledged_timeout_ms
         self._echo: bytes | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport
@@ -515,7 +527,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Prepare the connection."""
         self._transport = cast("asyncio.Transport", transport)
-        detect_silence(transport)
+        detect_silence(transport, self._unacknowledged_timeout_ms)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the request in progress."""
--- a/packages/lavenderway-relay/lavenderway_relay/placement.py
+++ b/packages/lavenderway-relay/lavenderway_relay/placement.py
@@ -28,6 +28,7 @@
 PROBE_S = 0.4  # first pause before an unreachable host is asked again
 MAX_PROBE_S = 2.0  # a partition that heals is noticed within this time
 REPORT_LIFETIME_S = 1.0  # an older report of load counts as half full
+ABSENCE_S = 0.3  # time for which a host whose upstream is not there is passed over
 FADE_S = 5.0  # failures are forgotten over this time
 
 
@@ -46,6 +47,7 @@
     probe_at: float = 0.0
     probe_s: float = PROBE_S
     tried: bool = False
+    absent_until: float = -1e9
 
 
 class Placement:
@@ -95,6 +97,9 @@
             if standing.suspected:
                 suspects.append((standing.probe_at, record))
                 continue
+            if standing.absent_until > now:
+                suspects.append((standing.absent_until, record))
+                continue
             if not standing.tried and record.host != self._host:
                 standing.tried = True
                 return record
@@ -132,6 +137,10 @@
         if failed:
             standing.failed_at = now
 
+    def record_absence(self, host: HostId, now: float) -> None:
+        """Pass over a host for a while, as its upstream takes no requests."""
+        self._standing(host).absent_until = now + ABSENCE_S
+
     def suspect(self, host: HostId, now: float) -> bool:
         """Pass over a host that cannot be reached; return whether that is new."""
         standing = self._standing(host)
--- a/packages/lavenderway-relay/lavenderway_relay/pools.py
+++ b/packages/lavenderway-relay/lavenderway_relay/pools.py
@@ -5,7 +5,12 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from lavenderway_relay.http import ClientConnection, ConnectionBrokenError, Response
+from lavenderway_relay.http import (
+    UNACKNOWLEDGED_TIMEOUT_MS,
+    ClientConnection,
+    ConnectionBrokenError,
+    Response,
+)
 
 if TYPE_CHECKING:
     from lavenderway_relay.model import Address
@@ -25,6 +30,8 @@
     Args:
         loop: The event loop.
         connect_timeout_s: Longest time to open a connection, in seconds.
+        unacknowledged_timeout_ms: Time after which a peer that acknowledges nothing
+            counts as lost, in milliseconds.
         echo_header: Header in which the peers repeat a request's id.
 
     """
@@ -34,9 +41,11 @@
         *,
         loop: asyncio.AbstractEventLoop,
         connect_timeout_s: float,
+        unacknowledged_timeout_ms: int = UNACKNOWLEDGED_TIMEOUT_MS,
         echo_header: bytes | None = None,
     ) -> None:
         self._loop = loop
+        self._unacknowledged_timeout_ms = unacknowledged_timeout_ms
         self._connect_timeout_s = connect_timeout_s
         self._echo_header = echo_header
         self._idle: dict[Address, list[ClientConnection]] = {}
@@ -115,7 +124,10 @@
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 _, connection = await self._loop.create_connection(
-                    lambda: ClientConnection(echo_header=self._echo_header),
+                    lambda: ClientConnection(
+                        echo_header=self._echo_header,
+                        unacknowledged_timeout_ms=self._unacknowledged_timeout_ms,
+                    ),
                     address.ip,
                     address.port,
                 )
--- a/packages/lavenderway-relay/lavenderway_relay/sync.py
+++ b/packages/lavenderway-relay/lavenderway_relay/sync.py
@@ -187,6 +187,7 @@
                 version=configuration.version,
                 before=before,
                 routes=len(configuration.routes),
+                classes=self._state.class_count,
                 source=source,
             )
 
--- a/tests/relay/test_roster.py
+++ b/tests/relay/test_roster.py
@@ -132,6 +132,12 @@
         self.assertLessEqual(len(probes), 13)
         self.assertLessEqual(max(b - a for a, b in pairwise(probes)), 21)
 
+    def test_passes_over_a_host_without_its_upstream_for_a_moment(self) -> None:
+        self.placement.record_absence(self.near.host, 0.1)
+        self.assertEqual(self.far, self.placement.choose(self.both, 0.2))
+        self.assertEqual(self.near, self.placement.choose([self.near], 0.2))
+        self.assertEqual(self.near, self.placement.choose(self.both, 0.5))
+
     def test_takes_a_suspect_when_there_is_no_other(self) -> None:
         self.placement.suspect(self.near.host, 0.1)
         self.assertEqual(self.near, self.placement.choose([self.near], 0.2))
