--- a/packages/lavenderway-relay/lavenderway_relay/http.py
+++ b/packages/lavenderway-relay/lavenderway_relay/http.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import socket
 import struct
 from collections import deque
@@ -545,13 +544,10 @@
         """Return whether what looks like the end of the stream is a reset.
 
         libuv reports an end of stream for a hang-up that follows data without reading
-        on to the error; one more read tells them apart.
+        on to the error; the socket still holds it.
         """
         sock = self._transport.get_extra_info("socket")
-        try:
-            return os.read(sock.fileno(), 1) != b""
-        except OSError:
-            return True
+        return bool(sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
 
     def data_received(self, data: bytes) -> None:
         """Parse what has arrived; bytes that nobody asked for end the connection."""
