Notice a node that has too little processor

Its log shows 1,000 requests a second, connections to its own upstream timing out at 0.5 s and healthy peers taken for lost. Ruled out: waits in the queue or for loans. Change: the event loop's lag is measured; a lagging node reads once more before it starts a request, tells a full load so that others choose another host, and holds no lateness against its peers. The test fails without the change.

--- a/packages/lavenderway-relay/lavenderway_relay/hosting.py
+++ b/packages/lavenderway-relay/lavenderway_relay/hosting.py
@@ -20,8 +20,9 @@
     from lavenderway_relay.model import Upstream
     from lavenderway_relay.state import NodeState
 
-CONNECT_TIMEOUT_S = 0.5  # on the same host; longer means that nothing listens
+CONNECT_TIMEOUT_S = 1.0  # on the same host; longer means that nothing listens
 UNACKNOWLEDGED_TIMEOUT_MS = 500  # on the same host nothing is on its way for longer
+FULL_LAG_S = 0.05  # lag of the event loop that counts as a full upstream
 FIRST_PAUSE_S = 0.2  # after a connection that could not be made
 MAX_PAUSE_S = 1.0  # an upstream that is back is noticed within this time
 FRESH_IDLE_S = 0.5  # a request that may run once uses no connection idle for longer
@@ -64,8 +65,8 @@
 
     @property
     def load(self) -> float:
-        """Running and waiting requests for each slot."""
-        return self._gate.load
+        """Fill of the slots, or of the node's processor if that is fuller."""
+        return max(self._gate.load, self._state.lag_s / FULL_LAG_S)
 
     @property
     def level(self) -> float:
@@ -278,7 +279,7 @@
         answer = HopAnswer(
             outcome,
             arrived,
-            self._gate.load,
+            self.load,
             self._gate.mean_s,
             running is not None and running.starved,
             levels,
--- a/packages/lavenderway-relay/lavenderway_relay/http.py
+++ b/packages/lavenderway-relay/lavenderway_relay/http.py
@@ -31,6 +31,7 @@
 KEEPALIVE_IDLE_S = 1  # probes start soon, since a cut connection sends no reset
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+LAG_CHECK_S = 0.001  # any time over zero lets the event loop read once more
 HEADER_OVERHEAD_BYTES = 4  # colon, space and line end of a header
 MAX_ANSWER_BYTES = 67_108_864  # far over any answer; bounds a runaway upstream
 
@@ -351,6 +352,9 @@
         self._transport.abort()
 
     async def _answer(self, pending: _Pending, request: Request) -> None:
+        if self._server.lagging:
+            # The caller may have left since; its end is read before this goes on.
+            await asyncio.sleep(LAG_CHECK_S)
         pending.response = await self._server.serve(request)
         self._flush()
 
@@ -410,6 +414,9 @@
         refuse: Makes the response to bytes that are no acceptable request.
         limits: Returns the limits in force.
 
+    Attributes:
+        lagging: Whether the event loop reads requests long after they have arrived.
+
     """
 
     def __init__(
@@ -426,6 +433,7 @@
         self.limits = limits
         self.connections: set[ServerConnection] = set()
         self.stopping = False
+        self.lagging = False
         self._server: asyncio.Server | None = None
 
     async def listen(self, address: Address) -> None:
--- a/packages/lavenderway-relay/lavenderway_relay/links.py
+++ b/packages/lavenderway-relay/lavenderway_relay/links.py
@@ -175,6 +175,8 @@
 
     def _suspect(self, record: HostRecord, error: Exception) -> None:
         now = self._loop.time()
+        if self._state.lag_s > TALK_TIMEOUT_S / 3:
+            return  # the lateness is likely to be this node's own
         new = self._state.placement.suspect(record.host, now)
         self._pool.drop(record.address)
         if new:
--- a/packages/lavenderway-relay/lavenderway_relay/node.py
+++ b/packages/lavenderway-relay/lavenderway_relay/node.py
@@ -41,6 +41,7 @@
 LINGER_S = 2.4  # callers are led away after two missed checks of a second each
 EXIT_MARGIN_S = 0.6  # of the grace; the last answers are written out
 STOP_POLL_S = 0.05
+LAGGING_S = 0.03  # above it requests are likely to be read after their callers left
 
 
 class Dependencies(NamedTuple):
@@ -215,9 +216,13 @@
         )
 
     async def _tick(self) -> None:
+        due = self._loop.time()
         while True:
-            await asyncio.sleep(TICK_S)
+            due += TICK_S
+            await asyncio.sleep(due - self._loop.time())
             now = self._loop.time()
+            self._note_lag(now - due)
+            due = now
             if self.state.own.lapse(now):
                 self.state.log.state("upstream.silent", now)
                 self._hosting.follow_upstream()
@@ -229,6 +234,16 @@
                 self._loop.create_task(self._links.borrow(wish))
             self.state.log.flush()
 
+    def _note_lag(self, lag_s: float) -> None:
+        """Take in how late the event loop is, as a sign of too little processor."""
+        self.state.lag_s = lag_s
+        lagging = lag_s > LAGGING_S
+        if lagging and not self._callers.lagging:
+            now = self._loop.time()
+            self.state.log.state("node.lagging", now, lag_ms=round(lag_s * 1e3))
+        self._callers.lagging = lagging
+        self._peers.lagging = lagging
+
     async def _drain(self) -> None:
         """Finish what is open, and lead callers and peers away."""
         started = self._loop.time()
@@ -258,4 +273,5 @@
         metrics.gauge("admission_level", lambda: self._hosting.level)
         metrics.gauge("config_version", lambda: float(self.state.config_version))
         metrics.gauge("roster_revision", lambda: float(self.state.roster.revision))
+        metrics.gauge("lag_seconds", lambda: self.state.lag_s)
         metrics.gauge("ready", lambda: float(self.ready))
--- a/packages/lavenderway-relay/lavenderway_relay/state.py
+++ b/packages/lavenderway-relay/lavenderway_relay/state.py
@@ -38,6 +38,7 @@
         document: The configuration in force as it was stored.
         serving: False from the moment at which the node is told to stop.
         started_ms: Wall-clock start of the process, in milliseconds.
+        lag_s: How late the event loop runs its timers, in seconds.
 
     """
 
@@ -56,6 +57,7 @@
     document: bytes = b""
     serving: bool = True
     started_ms: int = 0
+    lag_s: float = 0.0
 
     @property
     def config_version(self) -> int:
--- a/tests/relay/test_http.py
+++ b/tests/relay/test_http.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+import time
 import unittest
 from collections.abc import Awaitable, Callable
 
@@ -292,6 +293,16 @@
         await asyncio.sleep(0.05)
         self.assertEqual(1, self.cancelled)
 
+    async def test_a_lagging_server_starts_nothing_for_a_caller_that_is_gone(
+        self,
+    ) -> None:
+        self.server.lagging = True
+        self.writer.write(b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n")
+        self.writer.close()
+        time.sleep(0.05)  # both have arrived when the event loop reads
+        await asyncio.sleep(0.05)
+        self.assertEqual([], self.seen)
+
     async def test_a_slow_head_ends_the_connection(self) -> None:
         self.writer.write(b"GET / HTTP/1.1\r\nho")
         await asyncio.sleep(0.3)
