--- a/packages/lavenderway-core/lavenderway_core/resources.py
+++ b/packages/lavenderway-core/lavenderway_core/resources.py
@@ -33,7 +33,7 @@
 
 
 class WorkspaceSpec(NamedTuple):
-    """A tenant with its rate over all hosts together.
+    """The owner of keys and routes, with its rate over all hosts together.
 
     Attributes:
         rate_per_s: Requests per second.
