--- a/packages/lavenderway-dev/lavenderway_dev/mesh_fleet.py
+++ b/packages/lavenderway-dev/lavenderway_dev/mesh_fleet.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING, Any
 
 import orjson
-from lavenderway_relay.http import HttpServer, Request, Response, encode_request
+from lavenderway_relay.messages import Request, Response, encode_request
 from lavenderway_relay.model import Address
 from lavenderway_relay.pools import ConnectError, ConnectionBrokenError, ConnectionPool
 
@@ -23,6 +23,8 @@
     import signal
     from types import TracebackType
 
+    from lavenderway_relay.server import HttpServer
+
 READY_TIMEOUT_S = 15.0
 POLL_S = 0.05
 LOOPBACK = "127.0.0.1"
--- a/packages/lavenderway-dev/lavenderway_dev/mesh_store.py
+++ b/packages/lavenderway-dev/lavenderway_dev/mesh_store.py
@@ -11,8 +11,9 @@
 from urllib.parse import parse_qsl, urlsplit
 
 import orjson
-from lavenderway_relay.http import HttpServer, Request, Response
+from lavenderway_relay.messages import Request, Response
 from lavenderway_relay.refusals import refuse_bytes
+from lavenderway_relay.server import HttpServer
 
 if TYPE_CHECKING:
     from lavenderway_relay.model import Address
--- a/packages/lavenderway-dev/lavenderway_dev/mesh_upstream.py
+++ b/packages/lavenderway-dev/lavenderway_dev/mesh_upstream.py
@@ -9,9 +9,10 @@
 from typing import TYPE_CHECKING
 
 import orjson
-from lavenderway_relay.http import HttpServer, Request, Response, encode_request
+from lavenderway_relay.messages import Request, Response, encode_request
 from lavenderway_relay.pools import ConnectError, ConnectionBrokenError, ConnectionPool
 from lavenderway_relay.refusals import refuse_bytes
+from lavenderway_relay.server import HttpServer
 
 if TYPE_CHECKING:
     from lavenderway_relay.model import Address
--- a/packages/lavenderway-relay/lavenderway_relay/answers.py
+++ b/packages/lavenderway-relay/lavenderway_relay/answers.py
@@ -7,7 +7,7 @@
 
 if TYPE_CHECKING:
     from lavenderway_relay.dialect import Dialect
-    from lavenderway_relay.http import Response
+    from lavenderway_relay.messages import Response
 
 MISDIRECTED = 421
 SUCCESS = range(200, 300)
--- a/packages/lavenderway-relay/lavenderway_relay/dialect.py
+++ b/packages/lavenderway-relay/lavenderway_relay/dialect.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from lavenderway_relay.hops import HOP_HEADER
-from lavenderway_relay.http import HOP_BY_HOP
+from lavenderway_relay.messages import HOP_BY_HOP
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/lavenderway-relay/lavenderway_relay/entry.py
+++ b/packages/lavenderway-relay/lavenderway_relay/entry.py
@@ -10,8 +10,8 @@
 from xxhash import xxh32_intdigest
 
 from lavenderway_relay.hops import HOP_HEADER, Hop, Outcome
-from lavenderway_relay.http import HOP_BY_HOP, Request, Response, strip_headers
 from lavenderway_relay.logs import Level
+from lavenderway_relay.messages import HOP_BY_HOP, Request, Response, strip_headers
 from lavenderway_relay.refusals import Refusal, refuse
 
 if TYPE_CHECKING:
--- a/packages/lavenderway-relay/lavenderway_relay/hosting.py
+++ b/packages/lavenderway-relay/lavenderway_relay/hosting.py
@@ -8,8 +8,8 @@
 from lavenderway_relay.answers import Finding, judge_response
 from lavenderway_relay.gate import Gate, Ticket, Verdict
 from lavenderway_relay.hops import HopAnswer, Outcome
-from lavenderway_relay.http import Request, Response, encode_request, strip_headers
 from lavenderway_relay.lineage import RunningRequest
+from lavenderway_relay.messages import Request, Response, encode_request, strip_headers
 from lavenderway_relay.pools import ConnectError, ConnectionBrokenError, ConnectionPool
 from lavenderway_relay.pressure import PressureLevel
 
--- a/packages/lavenderway-relay/lavenderway_relay/links.py
+++ b/packages/lavenderway-relay/lavenderway_relay/links.py
@@ -16,7 +16,7 @@
     encode_hop,
 )
 from lavenderway_relay.hosting import Hosted
-from lavenderway_relay.http import Request, encode_request, strip_headers
+from lavenderway_relay.messages import Request, encode_request, strip_headers
 from lavenderway_relay.pools import ConnectError, ConnectionBrokenError, ConnectionPool
 
 if TYPE_CHECKING:
--- a/packages/lavenderway-relay/lavenderway_relay/node.py
+++ b/packages/lavenderway-relay/lavenderway_relay/node.py
@@ -13,14 +13,15 @@
 from lavenderway_relay.dialect import Dialect
 from lavenderway_relay.entry import Entry
 from lavenderway_relay.hosting import Hosting
-from lavenderway_relay.http import HttpServer, Response
 from lavenderway_relay.links import Links
+from lavenderway_relay.messages import Response
 from lavenderway_relay.model import Configuration, Limits, NodeSettings, UpstreamStatus
 from lavenderway_relay.peers import Peers
 from lavenderway_relay.placement import Placement
 from lavenderway_relay.pressure import TICK_S
 from lavenderway_relay.quota import QuotaShares
 from lavenderway_relay.refusals import refuse_bytes
+from lavenderway_relay.server import HttpServer
 from lavenderway_relay.state import NodeState
 from lavenderway_relay.store import Store
 from lavenderway_relay.sync import StateSync
--- a/packages/lavenderway-relay/lavenderway_relay/peers.py
+++ b/packages/lavenderway-relay/lavenderway_relay/peers.py
@@ -15,8 +15,8 @@
     decode_hop,
     encode_answer,
 )
-from lavenderway_relay.http import Response, strip_headers
 from lavenderway_relay.links import STATE_TARGET, TOKENS_TARGET
+from lavenderway_relay.messages import Response, strip_headers
 from lavenderway_relay.records import encode_records
 from lavenderway_relay.refusals import Refusal, refuse
 
@@ -24,8 +24,8 @@
     import asyncio
 
     from lavenderway_relay.hosting import Hosting
-    from lavenderway_relay.http import Request
     from lavenderway_relay.links import Links
+    from lavenderway_relay.messages import Request
     from lavenderway_relay.state import NodeState
 
 MAX_LOAN = 10_000.0  # tokens of one loan; far over any burst of a host
--- a/packages/lavenderway-relay/lavenderway_relay/pools.py
+++ b/packages/lavenderway-relay/lavenderway_relay/pools.py
@@ -5,14 +5,11 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from lavenderway_relay.http import (
-    UNACKNOWLEDGED_TIMEOUT_MS,
-    ClientConnection,
-    ConnectionBrokenError,
-    Response,
-)
+from lavenderway_relay._sockets import UNACKNOWLEDGED_TIMEOUT_MS
+from lavenderway_relay.client import ClientConnection, ConnectionBrokenError
 
 if TYPE_CHECKING:
+    from lavenderway_relay.messages import Response
     from lavenderway_relay.model import Address
 
 MAX_IDLE_PER_ADDRESS = 64
--- a/packages/lavenderway-relay/lavenderway_relay/refusals.py
+++ b/packages/lavenderway-relay/lavenderway_relay/refusals.py
@@ -8,7 +8,7 @@
 
 import orjson
 
-from lavenderway_relay.http import Response
+from lavenderway_relay.messages import Response
 
 OUTCOME_HEADER = b"lavenderway-outcome"
 
--- a/tests/end_to_end/test_mesh.py
+++ b/tests/end_to_end/test_mesh.py
@@ -9,7 +9,7 @@
 
 from lavenderway_dev.mesh_fleet import HostPlan, MeshFleet, make_config, make_route
 from lavenderway_dev.mesh_upstream import Call, ServerPlan
-from lavenderway_relay.http import Response
+from lavenderway_relay.messages import Response
 from lavenderway_relay.pools import ConnectError, ConnectionBrokenError
 
 KEY = "key-of-coulee"
--- a/tests/relay/test_answers.py
+++ b/tests/relay/test_answers.py
@@ -4,7 +4,7 @@
 
 from lavenderway_relay.answers import Finding, judge_response
 from lavenderway_relay.dialect import Dialect
-from lavenderway_relay.http import Response
+from lavenderway_relay.messages import Response
 
 DIALECT = Dialect(
     request_id=b"x-id",
--- a/tests/relay/test_http.py
+++ b/tests/relay/test_connections.py
@@ -8,16 +8,12 @@
 from collections.abc import Awaitable, Callable
 
 from lavenderway_dev.mesh_store import draw_port
-from lavenderway_relay.http import (
-    ClientConnection,
-    HttpServer,
-    Request,
-    Response,
-    encode_request,
-)
+from lavenderway_relay.client import ClientConnection
+from lavenderway_relay.messages import Request, Response, encode_request
 from lavenderway_relay.model import Address, Limits
 from lavenderway_relay.pools import ConnectError, ConnectionBrokenError, ConnectionPool
 from lavenderway_relay.refusals import refuse_bytes
+from lavenderway_relay.server import HttpServer
 
 ID = b"x-id"
 WHOLE = b"HTTP/1.1 200 OK\r\nx-id: 1\r\ncontent-length: 2\r\n\r\nok"
