--- a/packages/lavenderway-node/lavenderway_node/headers.py
+++ b/packages/lavenderway-node/lavenderway_node/headers.py
@@ -5,26 +5,14 @@
 from typing import TYPE_CHECKING
 from urllib.parse import unquote
 
+from lavenderway_core.header_fields import HOP_BY_HOP
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from lavenderway_node.frames import Headers
 
 OWN_PREFIX = b"lavenderway-"
-# RFC 9110, section 7.6.1, with the fields that old agents still send
-HOP_BY_HOP = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    }
-)
 _DROPPED_FROM_CALLERS = HOP_BY_HOP | {b"authorization", b"content-length", b"expect"}
 _DROPPED_FROM_UPSTREAMS = HOP_BY_HOP
 
--- a/packages/lavenderway-relay/lavenderway_relay/dialect.py
+++ b/packages/lavenderway-relay/lavenderway_relay/dialect.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from lavenderway_relay.hops import HOP_HEADER
-from lavenderway_relay.messages import HOP_BY_HOP
+from lavenderway_relay.messages import NOT_FORWARDED
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -43,4 +43,4 @@
             self.caller_service,
             b"authorization",
         }
-        object.__setattr__(self, "stripped", HOP_BY_HOP | own | {HOP_HEADER})
+        object.__setattr__(self, "stripped", NOT_FORWARDED | own | {HOP_HEADER})
--- a/packages/lavenderway-relay/lavenderway_relay/entry.py
+++ b/packages/lavenderway-relay/lavenderway_relay/entry.py
@@ -11,7 +11,7 @@
 
 from lavenderway_relay.hops import HOP_HEADER, Hop, Outcome
 from lavenderway_relay.logs import Level
-from lavenderway_relay.messages import HOP_BY_HOP, Request, Response, strip_headers
+from lavenderway_relay.messages import NOT_FORWARDED, Request, Response, strip_headers
 from lavenderway_relay.refusals import Refusal, refuse
 
 if TYPE_CHECKING:
@@ -33,7 +33,7 @@
 NO_ROOM_RETRY_S = 0.5  # a queue that has no room now is worked off in this time
 NO_CONFIGURATION_RETRY_S = 0.5
 SERVER_ERRORS = range(500, 600)
-_STRIPPED_ANSWER = HOP_BY_HOP | {HOP_HEADER}
+_STRIPPED_ANSWER = NOT_FORWARDED | {HOP_HEADER}
 
 
 @dataclass(kw_only=True, slots=True)
--- a/packages/lavenderway-relay/lavenderway_relay/messages.py
+++ b/packages/lavenderway-relay/lavenderway_relay/messages.py
@@ -5,26 +5,15 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, NamedTuple
 
+from lavenderway_core.header_fields import HOP_BY_HOP
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     Headers = list[tuple[bytes, bytes]]
 
-HOP_BY_HOP = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"content-length",
-        b"expect",
-    }
-)
+# What a node sets anew on each connection
+NOT_FORWARDED = HOP_BY_HOP | {b"content-length", b"expect"}
 BODYLESS = frozenset({204, 304})  # statuses whose responses have no body
 _REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 _USUAL_CONNECTION = frozenset({b"close", b"keep-alive"})  # name no header
@@ -92,7 +81,7 @@
 
 
 def strip_headers(
-    headers: Iterable[tuple[bytes, bytes]], stripped: frozenset[bytes] = HOP_BY_HOP
+    headers: Iterable[tuple[bytes, bytes]], stripped: frozenset[bytes] = NOT_FORWARDED
 ) -> Headers:
     """Return the headers that are passed on.
 
