Keep requests with time in their failure domain until it is full

Change: a request with less than six mean runs left goes where it is fast, others stay near until the hosts there are full. The time-out of a request is one timer in place of a context manager.

--- a/packages/lavenderway-relay/lavenderway_relay/entry.py
+++ b/packages/lavenderway-relay/lavenderway_relay/entry.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from lavenderway_core.retries import RetryBudget
 from xxhash import xxh32_intdigest
@@ -43,6 +43,7 @@
     Attributes:
         arrivals: Upstreams that the request was sent to.
         in_flight: Whether a host has the request and has not answered yet.
+        expired: Whether its time is up.
         cause: Why the last host had no answer.
 
     """
@@ -60,6 +61,7 @@
     tried: list[HostId] = field(default_factory=list)
     arrivals: int = 0
     in_flight: bool = False
+    expired: bool = False
     cause: Outcome | None = None
 
 
@@ -126,16 +128,29 @@
         if shed is not None:
             self._give_token_back(journey)
             return shed
+        task = asyncio.current_task()
+        assert task is not None
+        timer = self._loop.call_at(journey.deadline, self._expire, journey, task)
         try:
-            async with asyncio.timeout_at(journey.deadline):
-                return await self._travel(journey)
-        except TimeoutError:
-            if journey.in_flight or journey.arrivals:
-                return self._refuse(request, Refusal.TIMED_OUT, journey)
-            self._give_token_back(journey)
-            return self._refuse(
-                request, Refusal.EXPIRED, journey, retry_s=NO_ROOM_RETRY_S
-            )
+            return await self._travel(journey)
+        except asyncio.CancelledError:
+            if not journey.expired or task.uncancel() > 0:
+                raise
+            return self._time_out(journey)
+        finally:
+            timer.cancel()
+
+    def _expire(self, journey: _Journey, task: asyncio.Task[Any]) -> None:
+        journey.expired = True
+        task.cancel()
+
+    def _time_out(self, journey: _Journey) -> Response:
+        if journey.in_flight or journey.arrivals:
+            return self._refuse(journey.request, Refusal.TIMED_OUT, journey)
+        self._give_token_back(journey)
+        return self._refuse(
+            journey.request, Refusal.EXPIRED, journey, retry_s=NO_ROOM_RETRY_S
+        )
 
     def _plan(
         self,
@@ -220,7 +235,10 @@
             now = self._loop.time()
             candidates = self._state.roster.hosts_of(journey.service)
             record = self._state.placement.choose(
-                candidates, now, excluded=journey.tried
+                candidates,
+                now,
+                excluded=journey.tried,
+                time_left_s=journey.target_at - now,
             )
             if record is None or len(journey.tried) >= MAX_REFUSING_HOSTS:
                 return self._give_up(journey)
@@ -321,7 +339,7 @@
         now = self._loop.time()
         elapsed_s = now - journey.started
         state = self._state
-        state.metrics.count("requests", outcome="answered")
+        state.metrics.count_answered()
         state.metrics.observe(
             journey.workspace or "-", str(int(journey.position)), elapsed_s
         )
--- a/packages/lavenderway-relay/lavenderway_relay/metrics.py
+++ b/packages/lavenderway-relay/lavenderway_relay/metrics.py
@@ -16,6 +16,9 @@
 Labels = tuple[tuple[str, str], ...]
 
 
+_ANSWERED = ("requests", (("outcome", "answered"),))
+
+
 class Metrics:
     """Metrics of one node, in the text format of Prometheus."""
 
@@ -29,6 +32,10 @@
         """Raise a counter by one."""
         self._counters[name, tuple(labels.items())] += 1
 
+    def count_answered(self) -> None:
+        """Raise the counter of answered requests by one."""
+        self._counters[_ANSWERED] += 1
+
     def gauge(self, name: str, read: Callable[[], float]) -> None:
         """Add a gauge that is read when the metrics are collected."""
         self._gauges[name] = read
--- a/packages/lavenderway-relay/lavenderway_relay/placement.py
+++ b/packages/lavenderway-relay/lavenderway_relay/placement.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -19,9 +20,12 @@
 
 INITIAL_MEAN_S = 0.05  # expected run on a host that has not told its own
 OWN_HOST_FACTOR = 0.9  # a request that needs no other node saves a hop
-OTHER_DOMAIN_FACTOR = 1.35  # delay for which a request stays in its failure domain
+HURRIED_RUNS = 6.0  # mean runs; a request with less time left goes where it is fast
+OTHER_DOMAIN_HURRIED = 1.35  # factor of a host in another failure domain
+OTHER_DOMAIN = 2.5  # the same for requests with time, as bytes between domains are dear
 LOAD_WEIGHT = 0.6  # growth of the delay with the fill of the slots
-QUEUE_WEIGHT = 3.0  # further growth for each queued request a slot
+FULL_LOAD = 0.9  # from here on requests are about to queue
+QUEUE_WEIGHT = 10.0  # further growth for each request a slot over a full load
 FAILURE_GAIN = 0.1  # weight of the newest outcome in the failure ratio
 FAILURE_WEIGHT = 4.0  # growth of the delay with the failure ratio
 NOISE = 0.1  # part of the delay that is random, so that nodes do not move together
@@ -78,6 +82,7 @@
         now: float,
         *,
         excluded: Collection[HostId] = (),
+        time_left_s: float | None = None,
     ) -> HostRecord | None:
         """Return the host with the least expected delay.
 
@@ -85,8 +90,11 @@
             candidates: Hosts whose upstream takes requests for the service.
             now: Present time in seconds.
             excluded: Hosts that have been tried with this request.
+            time_left_s: Time until the answer is worth less, in seconds; None for a
+                request that is in a hurry anyway.
 
         """
+        hurried = self._is_hurried(candidates, time_left_s)
         best: HostRecord | None = None
         best_delay = 0.0
         suspects = []
@@ -103,7 +111,7 @@
             if not standing.tried and record.host != self._host:
                 standing.tried = True
                 return record
-            delay = self._expect_delay(record, standing, now)
+            delay = self._expect_delay(record, standing, now, hurried=hurried)
             if best is None or delay < best_delay:
                 best, best_delay = record, delay
         if best is None and suspects:
@@ -175,8 +183,16 @@
         if known is not None:
             self._standings[host] = _Standing(outstanding=known.outstanding)
 
+    def _is_hurried(
+        self, candidates: Collection[HostRecord], time_left_s: float | None
+    ) -> bool:
+        if time_left_s is None:
+            return True
+        means = (self._standing(record.host).mean_s for record in candidates)
+        return time_left_s < HURRIED_RUNS * min(means, default=0.0)
+
     def _expect_delay(
-        self, record: HostRecord, standing: _Standing, now: float
+        self, record: HostRecord, standing: _Standing, now: float, *, hurried: bool
     ) -> float:
         slots = max(1, record.upstream.slots) if record.upstream else 1
         load = standing.load
@@ -184,15 +200,21 @@
             load = min(load, 0.5)
         sent_since = standing.outstanding - standing.outstanding_at_report
         load = max(0.0, load + sent_since / slots)
-        delay = standing.mean_s * (1.0 + LOAD_WEIGHT * min(load, 1.0) ** 2)
-        delay += standing.mean_s * QUEUE_WEIGHT * max(0.0, load - 0.95)
+        # With time left, differences in speed count less than differences in load: a
+        # slow host near by is as good as a fast one until it is full.
+        delay = standing.mean_s if hurried else math.sqrt(standing.mean_s)
+        delay *= (
+            1.0
+            + LOAD_WEIGHT * min(load, 1.0) ** 2
+            + QUEUE_WEIGHT * max(0.0, load - FULL_LOAD)
+        )
         if standing.failures > 0.0:
             fading = max(0.0, 1.0 - (now - standing.failed_at) / FADE_S)
             delay *= 1.0 + FAILURE_WEIGHT * standing.failures * fading
         if record.host == self._host:
             delay *= OWN_HOST_FACTOR
         elif record.failure_domain != self._failure_domain:
-            delay *= OTHER_DOMAIN_FACTOR
+            delay *= OTHER_DOMAIN_HURRIED if hurried else OTHER_DOMAIN
         return delay * (1.0 + NOISE * self._random())
 
     def _standing(self, host: HostId) -> _Standing:
--- a/tests/relay/test_roster.py
+++ b/tests/relay/test_roster.py
@@ -153,6 +153,18 @@
         self.report(other, 0.2, mean_s=0.02)
         self.assertEqual(other, self.placement.choose([self.near, other], 0.1))
 
+    def test_a_request_with_time_stays_near_a_slower_host(self) -> None:
+        self.report(self.near, 0.6, mean_s=0.04)
+        self.report(self.far, 0.2, mean_s=0.02)
+        in_time = self.placement.choose(self.both, 0.1, time_left_s=2.0)
+        hurried = self.placement.choose(self.both, 0.1, time_left_s=0.1)
+        self.assertEqual((self.near, self.far), (in_time, hurried))
+
+    def test_a_request_with_time_leaves_a_full_host(self) -> None:
+        self.report(self.near, 1.1)
+        chosen = self.placement.choose(self.both, 0.1, time_left_s=2.0)
+        self.assertEqual(self.far, chosen)
+
     def test_a_new_host_gets_a_request_soon(self) -> None:
         added = make_record("added", domain="west")
         self.assertEqual(added, self.placement.choose([*self.both, added], 0.1))
