Weigh a service's level by what its hosts bear, all of them

Change: every answer counts, hosts without a level as full, weighted by slots over mean run. The new test of the entry node fails without it: level 0 of 1.

--- a/packages/lavenderway-relay/lavenderway_relay/admission.py
+++ b/packages/lavenderway-relay/lavenderway_relay/admission.py
@@ -27,6 +27,7 @@
 
 class _HostLevel(NamedTuple):
     level: float
+    weight: float
     at: float
 
 
@@ -67,19 +68,39 @@
         return sum(self._trees.get((route, service), {}).values())
 
     def learn_level(
-        self, service: ServiceId, host: HostId, level: float, now: float
+        self,
+        service: ServiceId,
+        host: HostId,
+        level: float,
+        now: float,
+        *,
+        weight: float = 1.0,
     ) -> None:
-        """Take in the level of one host's upstream."""
-        self._levels.setdefault(service, {})[host] = _HostLevel(level, now)
+        """Take in a level that a host has told.
+
+        Args:
+            service: Service that the level is about.
+            host: Host that told it.
+            level: Position up to which roots are admitted.
+            now: Present time in seconds.
+            weight: What the host's upstream bears, in requests a second; a slow one
+                says little about the service.
+
+        """
+        hosts = self._levels.setdefault(service, {})
+        hosts[host] = _HostLevel(level, weight, now)
 
     def level_of(self, service: ServiceId, now: float) -> float | None:
-        """Return the mean level of a service's hosts; None if nothing is known."""
+        """Return the weighted mean level of a service; None if nothing is known."""
         hosts = self._levels.get(service)
         if not hosts:
             return None
         oldest = now - LEVEL_LIFETIME_S
-        fresh = [known.level for known in hosts.values() if known.at >= oldest]
-        return sum(fresh) / len(fresh) if fresh else None
+        fresh = [known for known in hosts.values() if known.at >= oldest]
+        if not fresh:
+            return None
+        total = sum(known.weight for known in fresh)
+        return sum(known.level * known.weight for known in fresh) / total
 
     def services_below(self, route: RouteId, service: ServiceId) -> Iterable[ServiceId]:
         """Return the services that a request of a route reaches."""
--- a/packages/lavenderway-relay/lavenderway_relay/entry.py
+++ b/packages/lavenderway-relay/lavenderway_relay/entry.py
@@ -9,7 +9,7 @@
 from lavenderway_core.retries import RetryBudget
 from xxhash import xxh32_intdigest
 
-from lavenderway_relay.hops import HOP_HEADER, Hop, Outcome
+from lavenderway_relay.hops import HOP_HEADER, Hop, HopAnswer, Outcome
 from lavenderway_relay.logs import Level
 from lavenderway_relay.messages import NOT_FORWARDED, Request, Response, strip_headers
 from lavenderway_relay.refusals import Refusal, refuse
@@ -32,6 +32,7 @@
 NO_UPSTREAM_RETRY_S = 0.5  # a roster change arrives within this time
 NO_ROOM_RETRY_S = 0.5  # a queue that has no room now is worked off in this time
 NO_CONFIGURATION_RETRY_S = 0.5
+MIN_MEAN_S = 0.001  # the resolution in which hosts tell their mean run
 SERVER_ERRORS = range(500, 600)
 _STRIPPED_ANSWER = NOT_FORWARDED | {HOP_HEADER}
 
@@ -304,8 +305,7 @@
         if hosted.response is not None and hosted.response.status in SERVER_ERRORS:
             failed = not answer.calls
         state.placement.record_outcome(record.host, failed=failed, now=now)
-        for service, level in answer.levels.items():
-            state.admission.learn_level(service, record.host, level, now)
+        self._learn_levels(journey.service, record, answer, now)
         if answer.outcome is Outcome.ANSWERED:
             state.admission.learn_tree(journey.route.id, journey.service, answer.calls)
         parent = journey.parent
@@ -316,6 +316,23 @@
                 parent.starved or answer.starved or answer.outcome is Outcome.NO_ROOM
             )
 
+    def _learn_levels(
+        self, service: ServiceId, record: HostRecord, answer: HopAnswer, now: float
+    ) -> None:
+        admission = self._state.admission
+        slots = record.upstream.slots if record.upstream is not None else 1
+        bears_per_s = slots / max(answer.mean_s, MIN_MEAN_S)
+        for name, level in answer.levels.items():
+            weight = bears_per_s if name == service else 1.0
+            admission.learn_level(name, record.host, level, now, weight=weight)
+        if (
+            service not in answer.levels
+            and admission.level_of(service, now) is not None
+        ):
+            # A host that tells no level has none: it counts beside those that have.
+            full = float(self._state.class_count)
+            admission.learn_level(service, record.host, full, now, weight=bears_per_s)
+
     def _worth_repeating(
         self, journey: _Journey, response: Response, hosted: Hosted
     ) -> bool:
--- /dev/null
+++ b/tests/relay/test_entry.py
@@ -0,0 +1,244 @@
+"""Tests of what an entry node learns from answers, with scripted links."""
+
+import asyncio
+import os
+import unittest
+from typing import cast
+
+from lavenderway_core.ids import (
+    FailureDomainId,
+    HostId,
+    RouteId,
+    ServiceId,
+    WorkspaceId,
+)
+from lavenderway_dev.mesh_store import draw_port
+from lavenderway_platform.dialect import PLATFORM_DIALECT
+from lavenderway_relay.announcements import OwnUpstream
+from lavenderway_relay.entry import Entry
+from lavenderway_relay.hops import Hop, HopAnswer, Outcome
+from lavenderway_relay.hosting import Hosted
+from lavenderway_relay.links import Links
+from lavenderway_relay.logs import LogStream
+from lavenderway_relay.messages import Request, Response
+from lavenderway_relay.model import (
+    Address,
+    Configuration,
+    HostRecord,
+    Listeners,
+    NodeSettings,
+    Route,
+    Share,
+    Workspace,
+)
+from lavenderway_relay.placement import Placement
+from lavenderway_relay.quota import QuotaShares, Wish
+from lavenderway_relay.state import NodeState
+
+from tests.relay.test_roster import ARCHIVE, make_record
+
+WHOLE = Response(200, [(b"x", b"y")], b"whole")
+
+
+def make_answer(
+    outcome: Outcome = Outcome.ANSWERED,
+    *,
+    mean_s: float = 0.02,
+    levels: dict[ServiceId, float] | None = None,
+) -> HopAnswer:
+    arrived = outcome in (Outcome.ANSWERED, Outcome.UNKNOWN, Outcome.REJECTED)
+    return HopAnswer(outcome, arrived, 0.5, mean_s, False, levels or {}, {}, 1, 1)
+
+
+class ScriptedLinks:
+    """Answers each host's requests as scripted, and counts them."""
+
+    def __init__(self) -> None:
+        self.answers: dict[str, HopAnswer] = {}
+        self.status = 200
+        self.sent: list[str] = []
+        self.hangs = False
+
+    async def send(self, record: HostRecord, request: Request, hop: Hop) -> Hosted:
+        self.sent.append(record.host)
+        if self.hangs:
+            await asyncio.sleep(60)
+        answer = self.answers.get(record.host, make_answer())
+        whole = answer.outcome is Outcome.ANSWERED
+        return Hosted(answer, WHOLE._replace(status=self.status) if whole else None)
+
+    async def borrow(self, wish: Wish) -> None:
+        """Lend nothing."""
+
+
+def make_state(*, idempotent: bool, log: int) -> NodeState:
+    anywhere = Address("127.0.0.1", draw_port())
+    listeners = Listeners(
+        callers=anywhere, peers=anywhere, readiness=anywhere, announcements=anywhere
+    )
+    settings = NodeSettings(
+        host=HostId("own"),
+        failure_domain=FailureDomainId("east"),
+        service=ServiceId("front"),
+        upstream_address=anywhere,
+        listeners=listeners,
+        store_address=anywhere,
+        grace_s=5.0,
+        announcement_interval_s=1.0,
+    )
+    state = NodeState(
+        settings=settings,
+        dialect=PLATFORM_DIALECT,
+        log=LogStream(host="own", descriptor=log),
+        placement=Placement(
+            host=settings.host,
+            failure_domain=settings.failure_domain,
+            random=lambda: 0.5,
+        ),
+        own=OwnUpstream(interval_s=1.0),
+        quota=QuotaShares(),
+    )
+    route = Route(
+        id=RouteId("r"),
+        authority="app.example",
+        prefix=b"/",
+        idempotent=idempotent,
+        timeout_s=0.3,
+        target_s=0.1,
+        priority=0,
+        shares=(Share(ARCHIVE, 1.0),),
+        max_attempts=2,
+        public=True,
+    )
+    workspace = Workspace(
+        id=WorkspaceId("w"), priority=None, rate_per_s=1000.0, burst=1000.0
+    )
+    configuration = Configuration(
+        version=1,
+        routes=(route,),
+        workspaces={workspace.id: workspace},
+        workspace_of_key={b"k": workspace.id},
+    )
+    state.apply_configuration(configuration, b"", 0.0)
+    state.roster.merge([make_record("a"), make_record("b")])
+    return state
+
+
+class EntryCase(unittest.IsolatedAsyncioTestCase):
+    """An entry node with two hosts of one service."""
+
+    idempotent = True
+
+    async def asyncSetUp(self) -> None:
+        log = os.open(os.devnull, os.O_WRONLY)
+        self.addCleanup(os.close, log)
+        self.state = make_state(idempotent=self.idempotent, log=log)
+        self.links = ScriptedLinks()
+        self.entry = Entry(
+            state=self.state,
+            links=cast(Links, self.links),
+            loop=asyncio.get_running_loop(),
+            random=lambda: 0.5,
+        )
+        self._ids = 0
+
+    async def send(self) -> Response:
+        self._ids += 1
+        headers = [
+            (b"host", b"app.example"),
+            (PLATFORM_DIALECT.request_id, b"%d" % self._ids),
+        ]
+        return await self.entry.serve(Request(b"GET", b"/x", headers, b""))
+
+    def script(self, outcome: Outcome) -> None:
+        answer = make_answer(outcome)
+        self.links.answers = {"a": answer, "b": answer}
+
+
+class IdempotentRequests(EntryCase):
+    """What follows on each outcome of a request that may run again."""
+
+    async def test_an_answer(self) -> None:
+        self.assertEqual(200, (await self.send()).status)
+        self.assertEqual(1, len(self.links.sent))
+
+    async def test_a_refusal_that_reached_no_upstream_goes_on_to_the_next(self) -> None:
+        for outcome in (Outcome.NO_ROOM, Outcome.ABSENT, Outcome.STOPPING):
+            with self.subTest(outcome):
+                self.links.answers = {"a": make_answer(outcome)}
+                self.assertEqual(200, (await self.send()).status)
+
+    async def test_no_room_anywhere_promises_not_run(self) -> None:
+        self.script(Outcome.NO_ROOM)
+        response = await self.send()
+        self.assertEqual(503, response.status)
+        self.assertEqual(b"not-run", response.header(b"lavenderway-outcome"))
+        self.assertIsNotNone(response.header(b"retry-after"))
+
+    async def test_an_unknown_outcome_promises_nothing(self) -> None:
+        self.script(Outcome.UNKNOWN)
+        response = await self.send()
+        self.assertEqual(502, response.status)
+        self.assertEqual(b"unknown", response.header(b"lavenderway-outcome"))
+
+    async def test_repeats_stay_within_the_budget(self) -> None:
+        self.script(Outcome.UNKNOWN)
+        for _ in range(200):
+            await self.send()
+        self.assertLessEqual(len(self.links.sent), 200 * 1.05 + 3)
+        self.assertGreater(len(self.links.sent), 200)
+
+    async def test_the_time_out_ends_at_once_and_promises_nothing(self) -> None:
+        self.links.hangs = True
+        started = asyncio.get_running_loop().time()
+        response = await self.send()
+        self.assertEqual(504, response.status)
+        elapsed = asyncio.get_running_loop().time() - started
+        self.assertAlmostEqual(0.3, elapsed, delta=0.2)
+
+    async def test_a_caller_that_leaves_is_not_answered(self) -> None:
+        self.links.hangs = True
+        sending = asyncio.create_task(self.send())
+        await asyncio.sleep(0.05)
+        sending.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await sending
+
+
+class AtMostOnceRequests(EntryCase):
+    """What follows on each outcome of a request that may run once."""
+
+    idempotent = False
+
+    async def test_an_unknown_outcome_is_final(self) -> None:
+        self.script(Outcome.UNKNOWN)
+        for _ in range(50):
+            self.assertEqual(502, (await self.send()).status)
+        self.assertEqual(50, len(self.links.sent))
+
+    async def test_a_failure_of_the_upstream_is_final(self) -> None:
+        self.links.status = 500
+        for _ in range(50):
+            self.assertEqual(500, (await self.send()).status)
+        self.assertEqual(50, len(self.links.sent))
+
+    async def test_a_refusal_that_reached_no_upstream_goes_on_to_the_next(self) -> None:
+        self.links.answers = {"a": make_answer(Outcome.NO_ROOM)}
+        self.assertEqual(200, (await self.send()).status)
+
+
+class LearnedLevels(EntryCase):
+    """The level of a service is that of all its hosts, by what they bear."""
+
+    async def test_a_slow_host_does_not_shut_its_service(self) -> None:
+        for _ in range(10):
+            await self.send()
+        slow = make_answer(mean_s=0.5, levels={ARCHIVE: 0.0})
+        self.links.answers = {"a": slow, "b": make_answer(mean_s=0.02)}
+        for _ in range(40):
+            await self.send()
+        now = asyncio.get_running_loop().time()
+        level = self.state.admission.level_of(ARCHIVE, now)
+        assert level is not None
+        self.assertGreater(level, 0.9 * self.state.class_count)
+        self.assertEqual({200}, {(await self.send()).status for _ in range(10)})
--- a/tests/relay/test_pressure.py
+++ b/tests/relay/test_pressure.py
@@ -162,6 +162,14 @@
         self.admission.learn_tree(RouteId("tree"), self.front, {self.deep: 4.0})
         self.assertIsNone(self.judge("tree", 1.7, now=10.0))
 
+    def test_a_slow_host_says_little_about_its_service(self) -> None:
+        self.admission.learn_tree(RouteId("tree"), self.front, {self.deep: 4.0})
+        for name, level, weight in (("h", 0.5, 50.0), ("i", 3.0, 600.0)):
+            self.admission.learn_level(
+                self.deep, HostId(name), level, 0.0, weight=weight
+            )
+        self.assertIsNone(self.judge("tree", 2.7))
+
     def test_the_caller_is_told_when_to_come_back(self) -> None:
         self.admission.learn_tree(RouteId("tree"), self.front, {self.deep: 4.0})
         verdict = self.admission.judge(
