--- a/packages/lavenderway-relay/lavenderway_relay/entry.py
+++ b/packages/lavenderway-relay/lavenderway_relay/entry.py
@@ -325,10 +325,7 @@
         for name, level in answer.levels.items():
             weight = bears_per_s if name == service else 1.0
             admission.learn_level(name, record.host, level, now, weight=weight)
-        if (
-            service not in answer.levels
-            and admission.level_of(service, now) is not None
-        ):
+        if service not in answer.levels:
             # A host that tells no level has none: it counts beside those that have.
             full = float(self._state.class_count)
             admission.learn_level(service, record.host, full, now, weight=bears_per_s)
