Reload the settings, and name all findings at once

Change: the file is read again on the signal and when it changes without one; what cannot be used is logged and leaves the settings in force. Tests with real nodes for both ways and for a bad file.

--- a/packages/lavenderway-dev/lavenderway_dev/mesh_fleet.py
+++ b/packages/lavenderway-dev/lavenderway_dev/mesh_fleet.py
@@ -84,6 +84,11 @@
                 stderr=log,
             )
 
+    def rewrite_settings(self, old: str, new: str) -> None:
+        """Change the settings file of the running node."""
+        text = self._settings_path.read_text(encoding="utf-8")
+        self._settings_path.write_text(text.replace(old, new), encoding="utf-8")
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the node process."""
         assert self.process is not None
--- a/packages/lavenderway-relay/lavenderway_relay/node.py
+++ b/packages/lavenderway-relay/lavenderway_relay/node.py
@@ -42,6 +42,7 @@
 LINGER_S = 2.4  # callers are led away after two missed checks of a second each
 EXIT_MARGIN_S = 0.6  # of the grace; the last answers are written out
 STOP_POLL_S = 0.05
+SETTINGS_LOOK_TICKS = 10  # a file that changes without a signal is read in a second
 LAGGING_S = 0.03  # above it requests are likely to be read after their callers left
 
 
@@ -55,6 +56,8 @@
         decode_configuration: Reads a configuration document.
         config_table: Table in which the operators' configuration lies.
         config_key: Key of its row.
+        read_settings: Reads the settings again; raises if they cannot be used.
+        settings_changed: Returns whether they have changed since they were read.
 
     """
 
@@ -64,6 +67,8 @@
     decode_configuration: Callable[[bytes], Configuration]
     config_table: str
     config_key: str
+    read_settings: Callable[[], NodeSettings]
+    settings_changed: Callable[[], bool]
 
 
 class Node:
@@ -84,6 +89,7 @@
         loop: asyncio.AbstractEventLoop,
     ) -> None:
         settings = dependencies.settings
+        self._dependencies = dependencies
         self._loop = loop
         self._stop_requested = asyncio.Event()
         placement = Placement(
@@ -153,7 +159,7 @@
         settings = self.state.settings
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self._stop_requested.set)
-        self._loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+        self._loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._sync.start()
         await self._peers.listen(settings.listeners.peers)
         await self._callers.listen(settings.listeners.callers)
@@ -218,6 +224,7 @@
 
     async def _tick(self) -> None:
         due = self._loop.time()
+        ticks = 0
         while True:
             due += TICK_S
             await asyncio.sleep(due - self._loop.time())
@@ -234,6 +241,10 @@
             for wish in self.state.quota.tick(now):
                 self._loop.create_task(self._links.borrow(wish))
             self.state.log.flush()
+            ticks += 1
+            look = ticks % SETTINGS_LOOK_TICKS == 0
+            if look and self._dependencies.settings_changed():
+                self._reload()
 
     def _note_lag(self, lag_s: float) -> None:
         """Take in how late the event loop is, as a sign of too little processor."""
@@ -265,8 +276,22 @@
         self._peers.close()
         await asyncio.sleep(0)
 
-    def _note_reload(self) -> None:
-        self.state.log.state("node.reloaded", self._loop.time())
+    def _reload(self) -> None:
+        """Read the settings again; what cannot be used leaves those in force."""
+        now = self._loop.time()
+        known = self.state.settings
+        try:
+            settings = self._dependencies.read_settings()
+        except Exception as error:  # whatever is wrong with a file, the node goes on
+            self.state.log.state("settings.unusable", now, error=str(error))
+            return
+        if (settings.host, settings.listeners) != (known.host, known.listeners):
+            self.state.log.state("settings.need_restart", now)
+            return
+        self.state.settings = settings
+        self.state.quota.extra_burst = settings.extra_burst
+        self.state.resize_quota(now)
+        self.state.log.state("node.reloaded", now, changed=settings != known)
 
     def _add_gauges(self) -> None:
         metrics = self.state.metrics
--- a/packages/lavenderway-relay/lavenderway_relay/quota.py
+++ b/packages/lavenderway-relay/lavenderway_relay/quota.py
@@ -57,7 +57,7 @@
     """
 
     def __init__(self, *, extra_burst: float = 0.0) -> None:
-        self._extra_burst = extra_burst
+        self.extra_burst = extra_burst
         self._allowances: dict[WorkspaceId, _Allowance] = {}
         self._last_tick = 0.0
 
@@ -77,7 +77,7 @@
             del self._allowances[gone]
         for workspace in limited.values():
             rate_per_s = workspace.rate_per_s * part
-            burst = (workspace.burst + self._extra_burst) * part
+            burst = (workspace.burst + self.extra_burst) * part
             known = self._allowances.get(workspace.id)
             if known is None:
                 bucket = TokenBucket(rate_per_s=rate_per_s, burst=burst, now=now)
--- a/tests/end_to_end/test_mesh.py
+++ b/tests/end_to_end/test_mesh.py
@@ -249,6 +249,39 @@
         self.assertLess(await self.wait_for("/new/x", 200, "front"), 2.0)
 
 
+class ChangedSettings(MeshCase):
+    """A node follows its settings file, with and without a signal."""
+
+    async def wait_for_caller(self, service: bytes) -> None:
+        """Wait until servers are told another service of the caller's host."""
+        async with asyncio.timeout(5.0):
+            while True:
+                await self.get("/back/x", host="slow")
+                runs = [r for s in self.servers.values() for r in s.runs[-1:]]
+                if any(
+                    run.header(b"lavenderway-caller-service") == service for run in runs
+                ):
+                    return
+                await asyncio.sleep(0.05)
+
+    async def test_a_changed_service(self) -> None:
+        host = self.fleet.hosts["slow"]
+        host.rewrite_settings('service = "slow"', 'service = "other"')
+        host.signal(signal.SIGHUP)
+        await self.wait_for_caller(b"other")
+        host.rewrite_settings('service = "other"', 'service = "third"')
+        await self.wait_for_caller(b"third")
+
+    async def test_settings_that_cannot_be_used(self) -> None:
+        host = self.fleet.hosts["slow"]
+        host.rewrite_settings('service = "slow"', "service = 5")
+        host.signal(signal.SIGHUP)
+        await asyncio.sleep(0.5)
+        self.assertEqual(200, (await self.get("/back/x", host="slow")).status)
+        events = [line["event"] for line in host.read_log()]
+        self.assertIn("settings.unusable", events)
+
+
 class Recovery(MeshCase):
     """After the loss of all processes the fleet serves again by itself."""
 
--- a/tests/platform_adapter/test_decoding.py
+++ b/tests/platform_adapter/test_decoding.py
@@ -1,5 +1,6 @@
 """Tests of what the adapter makes of the platform's messages."""
 
+import os
 import tempfile
 import unittest
 from pathlib import Path
@@ -11,7 +12,7 @@
 from lavenderway_platform._values import ValueFormatError
 from lavenderway_platform.announcements import decode_departure, decode_heartbeat
 from lavenderway_platform.configuration import decode_configuration
-from lavenderway_platform.settings import SettingsError, read_settings
+from lavenderway_platform.settings import SettingsError, SettingsFile
 from lavenderway_relay.model import UpstreamStatus
 from lavenderway_relay.sync import ConfigurationFormatError
 
@@ -108,23 +109,44 @@
 
 
 class Settings(unittest.TestCase):
-    """Settings that cannot be used are refused with file and key."""
-
-    def test_missing_keys(self) -> None:
-        with tempfile.TemporaryDirectory() as folder:
-            path = Path(folder) / "local.toml"
-            for text, place in (
-                ("", "listen"),
-                ("x =", "Invalid value"),
-                ("[listen]", "bo"),
-            ):
-                path.write_text(text, encoding="utf-8")
-                with self.subTest(text):
-                    with self.assertRaises(SettingsError) as caught:
-                        read_settings(str(path))
-                    self.assertIn(str(path), str(caught.exception))
-                    self.assertIn(place, str(caught.exception))
-
-    def test_no_file(self) -> None:
+    """Settings that cannot be used are refused with file and key, all at once."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "local.toml"
+        self.file = SettingsFile(path=str(self.path))
+
+    def test_all_findings_with_their_places(self) -> None:
+        text = 'zone = 3\n[listen]\ninbound = "nowhere"\n[bounds]\ngrace = "soon"\n'
+        self.path.write_text(text, encoding="utf-8")
+        with self.assertRaises(SettingsError) as caught:
+            self.file.read()
+        shown = str(caught.exception)
+        for place in (
+            "settings.zone",
+            "settings.node-name",
+            "listen.inbound",
+            "listen.readiness",
+            "bounds.grace",
+            "platform",
+        ):
+            self.assertIn(f"{self.path}: {place}", shown)
+
+    def test_a_file_that_cannot_be_read(self) -> None:
+        for text in ("x =", "\x00"):
+            with self.subTest(text):
+                self.path.write_text(text, encoding="utf-8")
+                with self.assertRaises(SettingsError) as caught:
+                    self.file.read()
+                self.assertIn(str(self.path), str(caught.exception))
+        with self.assertRaises(SettingsError):
+            SettingsFile(path="/nonexistent/local.toml").read()
+
+    def test_notices_a_change(self) -> None:
+        self.path.write_text("x = 1", encoding="utf-8")
         with self.assertRaises(SettingsError):
-            read_settings("/nonexistent/local.toml")
+            self.file.read()
+        self.assertFalse(self.file.has_changed())
+        os.utime(self.path, ns=(1, 1))
+        self.assertTrue(self.file.has_changed())
