--- a/packages/lavenderway-relay/lavenderway_relay/entry.py
+++ b/packages/lavenderway-relay/lavenderway_relay/entry.py
@@ -32,6 +32,8 @@
 NO_UPSTREAM_RETRY_S = 0.5  # a roster change arrives within this time
 NO_ROOM_RETRY_S = 0.5  # a queue that has no room now is worked off in this time
 NO_CONFIGURATION_RETRY_S = 0.5
+MIN_RETRY_S = 0.2  # sooner a token of a small workspace is seldom there
+MAX_RETRY_S = 2.0  # a third of the time that most callers have
 MIN_MEAN_S = 0.001  # the resolution in which hosts tell their mean run
 SERVER_ERRORS = range(500, 600)
 _STRIPPED_ANSWER = NOT_FORWARDED | {HOP_HEADER}
@@ -123,7 +125,7 @@
         journey = self._plan(request, request_id, table, route, workspace, now)
         if workspace is not None and not await self._take_token(journey):
             wait_s = self._state.quota.retry_after(workspace, now)
-            retry_s = min(2.0, max(0.2, wait_s)) * (0.75 + self._random() / 2)
+            retry_s = self._spread(min(MAX_RETRY_S, max(MIN_RETRY_S, wait_s)))
             return self._refuse(request, Refusal.OVER_RATE, journey, retry_s=retry_s)
         shed = self._judge(journey)
         if shed is not None:
@@ -379,10 +381,10 @@
             return self._refuse(journey.request, Refusal.UNKNOWN, journey)
         self._give_token_back(journey)
         if cause in (Outcome.NO_ROOM, Outcome.REJECTED):
-            retry_s = NO_ROOM_RETRY_S * (0.5 + self._random())
+            retry_s = self._spread(NO_ROOM_RETRY_S)
             reason = Refusal.NO_ROOM
         else:
-            retry_s = NO_UPSTREAM_RETRY_S * (0.5 + self._random())
+            retry_s = self._spread(NO_UPSTREAM_RETRY_S)
             reason = Refusal.NO_UPSTREAM
         return self._refuse(journey.request, reason, journey, retry_s=retry_s)
 
@@ -410,6 +412,10 @@
         )
         return refuse(reason, retry_after_s=retry_s)
 
+    def _spread(self, retry_s: float) -> float:
+        """Return a time around the given one, so that callers come back apart."""
+        return retry_s * (0.5 + self._random())
+
     def _budget(self, service: ServiceId) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
