Hold fewer slots at once, and close the connections of a former upstream

Found while reading: an upstream announced anew with fewer slots kept the former limit, and idle connections to a former incarnation were left open.

--- a/packages/lavenderway-relay/lavenderway_relay/gate.py
+++ b/packages/lavenderway-relay/lavenderway_relay/gate.py
@@ -72,7 +72,7 @@
     @property
     def limit(self) -> int:
         """Requests that may run now."""
-        return max(MIN_LIMIT, int(self._limit))
+        return max(MIN_LIMIT, min(self.slots, int(self._limit)))
 
     @property
     def load(self) -> float:
--- a/packages/lavenderway-relay/lavenderway_relay/hosting.py
+++ b/packages/lavenderway-relay/lavenderway_relay/hosting.py
@@ -86,7 +86,7 @@
             else:
                 self._gate.slots = upstream.slots
         if known is not None and known.id != upstream.id:
-            self._pool = self._open_pool()
+            self._pool.close()
             self._unreachable_until = self._loop.time()
         if not self._state.takes_requests:
             self._refuse_waiting()
--- a/packages/lavenderway-relay/lavenderway_relay/pools.py
+++ b/packages/lavenderway-relay/lavenderway_relay/pools.py
@@ -78,6 +78,11 @@
             connection.abort()
         return response
 
+    def close(self) -> None:
+        """Close all idle connections."""
+        for address in tuple(self._idle):
+            self.drop(address)
+
     def drop(self, address: Address) -> None:
         """Close the idle connections to an address."""
         for connection in self._idle.pop(address, ()):
--- a/tests/relay/test_gate.py
+++ b/tests/relay/test_gate.py
@@ -56,6 +56,11 @@
             gate.reject(0.0)
         self.assertEqual(20, gate.limit)
 
+    def test_fewer_slots_hold_at_once(self) -> None:
+        gate = Gate(slots=20, now=0.0)
+        gate.slots = 5
+        self.assertEqual(5, gate.limit)
+
 
 class GateOrder(unittest.TestCase):
     """Requests start in the order in which they must start to be on time."""
