--- a/packages/lavenderway-dev/lavenderway_dev/mutation.py
+++ b/packages/lavenderway-dev/lavenderway_dev/mutation.py
@@ -49,7 +49,7 @@
     """Break the mechanism on a scratch copy and run the tests named."""
     with tempfile.TemporaryDirectory(prefix="lavenderway-mutant-") as folder:
         copy = Path(folder)
-        for name in ("packages", "tests"):
+        for name in ("packages", "platform", "tests"):
             shutil.copytree(name, copy / name, ignore=shutil.ignore_patterns("*.pyc"))
         target = copy / mutant.file
         text = target.read_text(encoding="utf-8")
@@ -60,7 +60,8 @@
 
 
 def _run_tests(mutant: Mutant, copy: Path) -> Verdict:
-    path = os.pathsep.join(str(each) for each in sorted((copy / "packages").iterdir()))
+    folders = [*sorted((copy / "packages").iterdir()), copy / "platform"]
+    path = os.pathsep.join(str(each) for each in folders)
     environment = {**os.environ, "PYTHONPATH": path}
     for pattern in mutant.tests:
         command = [sys.executable, "-m", "lavenderway_dev.testrunner", pattern]
