--- a/packages/lavenderway-relay/lavenderway_relay/server.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server.py
@@ -43,7 +43,6 @@
     """One connection of a caller; answers pipelined requests in order.
 
     Args:
-        serve: Answers one request; cancelled when the caller is gone.
         server: What the connections of one listener share.
 
     """
