Log each request that the exit of a node drops

Cause: node.stopped had no fields, and a request cancelled by the exit only counted as abandoned, like one whose caller has left, so that the logs could not tell the hypotheses on the incident apart.

Change: request.dropped tells for each pending request its age, when it was read relative to the stop, and whether an attempt is in progress; node.stopped tells the time taken, the dropped requests, the open connections and the bytes not written. No change of logic.

--- a/packages/lavenderway-relay/lavenderway_relay/caller_handler.py
+++ b/packages/lavenderway-relay/lavenderway_relay/caller_handler.py
@@ -89,6 +89,7 @@
         self._random = random
         self._retry_budgets: dict[ServiceId, RetryBudget] = {}
         self._feedback = ResponseFeedback(state=state, loop=loop)
+        self._pending: set[RequestContext] = set()
 
     async def serve(self, request: Request) -> Response:
         """Return the response to one request of a caller."""
@@ -146,6 +147,7 @@
         task = asyncio.current_task(self._loop)
         assert task is not None
         timer = self._loop.call_at(context.deadline, self._expire, context, task)
+        self._pending.add(context)
         try:
             return await self._route_request(context)
         except asyncio.CancelledError:
@@ -160,6 +162,29 @@
             return self._time_out(context)
         finally:
             timer.cancel()
+            self._pending.discard(context)
+
+    def log_dropped(self, now: float, stop_requested_at: float) -> int:
+        """Log the requests that the exit of the node drops; return their number.
+
+        Args:
+            now: Event loop time, in seconds.
+            stop_requested_at: Time at which the node was told to stop, in seconds.
+
+        """
+        for context in self._pending:
+            self._state.metrics.count("requests", outcome="dropped")
+            self._state.log.failure(
+                "request.dropped",
+                now,
+                request=context.request_id,
+                route=context.route.id,
+                ms=round((now - context.received_at) * 1e3, 1),
+                after_stop_ms=round((context.received_at - stop_requested_at) * 1e3, 1),
+                peer=context.sent_to if context.in_flight else None,
+                arrivals=context.arrivals,
+            )
+        return len(self._pending)
 
     def _expire(self, context: RequestContext, task: asyncio.Task[Any]) -> None:
         context.expired = True
--- a/packages/lavenderway-relay/lavenderway_relay/node.py
+++ b/packages/lavenderway-relay/lavenderway_relay/node.py
@@ -115,7 +115,7 @@
             loop=loop,
             random=random.random,
         )
-        caller_handler = CallerRequestHandler(
+        self._caller_handler = CallerRequestHandler(
             state=self.state,
             peer_client=self._peer_client,
             loop=loop,
@@ -140,7 +140,7 @@
         )
         self._caller_server = HttpServer(
             loop=loop,
-            serve=caller_handler.serve,
+            serve=self._caller_handler.serve,
             refuse=refuse_malformed_input,
             limits=lambda: self.state.limits,
         )
@@ -186,10 +186,20 @@
         )
         tick_task = self.state.tasks.start(self._tick(), self._loop)
         await self._stop_requested.wait()
+        stop_requested_at = self._loop.time()
         await self._drain()
         tick_task.cancel()
         self._sync.stop()
-        self.state.log.state("node.stopped", self._loop.time())
+        now = self._loop.time()
+        self.state.log.state(
+            "node.stopped",
+            now,
+            ms=round((now - stop_requested_at) * 1e3),
+            dropped=self._caller_handler.log_dropped(now, stop_requested_at),
+            connections=len(self._caller_server.connections),
+            unwritten_bytes=self._caller_server.unwritten_bytes
+            + self._peer_server.unwritten_bytes,
+        )
         self.state.log.flush()
 
     async def handle_announcement(self, upstream: Upstream) -> None:
--- a/packages/lavenderway-relay/lavenderway_relay/request_context.py
+++ b/packages/lavenderway-relay/lavenderway_relay/request_context.py
@@ -14,7 +14,7 @@
     from lavenderway_relay.running_requests import RunningRequest
 
 
-@dataclass(kw_only=True, slots=True)
+@dataclass(kw_only=True, slots=True, eq=False)
 class RequestContext:
     """State of one request at its entry node, across all attempts.
 
--- a/packages/lavenderway-relay/lavenderway_relay/server.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server.py
@@ -110,6 +110,11 @@
         """Whether a request head has been received in part."""
         return self.message_since is not None
 
+    @property
+    def unwritten_bytes(self) -> int:
+        """Number of response bytes that the client has not taken yet."""
+        return self._transport.get_write_buffer_size()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the server."""
         self._transport = cast("asyncio.Transport", transport)
@@ -362,6 +367,11 @@
         """Whether a request is being read or processed on any connection."""
         return any(connection.busy for connection in self.connections)
 
+    @property
+    def unwritten_bytes(self) -> int:
+        """Number of response bytes that the clients have not taken yet."""
+        return sum(connection.unwritten_bytes for connection in self.connections)
+
     def close(self) -> None:
         """Stop accepting connections; open ones stay open."""
         if self._server is not None:
