--- a/tests/end_to_end/test_relay_fleet.py
+++ b/tests/end_to_end/test_relay_fleet.py
@@ -1,10 +1,12 @@
 """Tests of real node processes on loopback with stand-ins of the users' platform."""
 
 import asyncio
+import contextlib
+import re
 import signal
 import time
 import unittest
-from collections import Counter
+from collections import Counter, deque
 from typing import Any
 
 from lavenderway_dev.relay_fleet import (
@@ -14,7 +16,8 @@
     make_route,
 )
 from lavenderway_dev.server_standin import Call, ServerPlan
-from lavenderway_relay.messages import Response
+from lavenderway_relay.messages import Request, Response, encode_request
+from lavenderway_relay.model import Address
 from lavenderway_relay.pools import ConnectError, ConnectionBrokenError
 
 KEY = "key-of-coulee"
@@ -46,6 +49,85 @@
     ]
 
 
+class StayingRequests:
+    """Requests of callers that keep sending to one node until it is gone.
+
+    Args:
+        address: Address of the node for callers.
+
+    Attributes:
+        statuses: Status of the response to each request, by request ID; 0 without a
+            complete response.
+        refused_without_delay: IDs of refusals without a `Retry-After` header.
+
+    """
+
+    PIPELINE_INTERVAL_S = 0.05
+
+    def __init__(self, *, address: Address) -> None:
+        self._address = address
+        self.statuses: dict[str, int] = {}
+        self.refused_without_delay: list[str] = []
+
+    def _next_request(self) -> tuple[str, bytes]:
+        name = f"{len(self.statuses):016x}"
+        self.statuses[name] = 0
+        headers = [
+            (b"host", b"app.example"),
+            (b"lavenderway-attempt-id", name.encode()),
+            (b"lavenderway-deadline-ms", b"3000"),
+        ]
+        return name, encode_request(Request(b"POST", b"/back/x", headers, b""))
+
+    async def send_on_new_connection(self) -> None:
+        """Send one request on a connection of its own."""
+        try:
+            reader, writer = await asyncio.open_connection(*self._address)
+        except OSError:
+            return
+        name, data = self._next_request()
+        writer.write(data)
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            await self._read_response(reader, name)
+        writer.close()
+
+    async def send_pipeline(self, *, until: asyncio.Task[int]) -> None:
+        """Send requests without waiting for responses until the connection ends."""
+        reader, writer = await asyncio.open_connection(*self._address)
+        sent: deque[str] = deque()
+
+        async def write() -> None:
+            while not until.done() and not writer.is_closing():
+                name, data = self._next_request()
+                sent.append(name)
+                writer.write(data)
+                await asyncio.sleep(self.PIPELINE_INTERVAL_S)
+
+        writing = asyncio.create_task(write())
+        try:
+            while True:
+                while not sent:
+                    await asyncio.sleep(0)
+                if await self._read_response(reader, sent.popleft()):
+                    break
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writing.cancel()
+            writer.close()
+
+    async def _read_response(self, reader: asyncio.StreamReader, name: str) -> bool:
+        """Read a response; return whether it closes the connection."""
+        head = (await reader.readuntil(b"\r\n\r\n")).lower()
+        status = int(head.split()[1])
+        length = re.search(rb"content-length: (\d+)", head)
+        await reader.readexactly(int(length[1]) if length else 0)
+        self.statuses[name] = status
+        if status == 503 and b"retry-after: " not in head:
+            self.refused_without_delay.append(name)
+        return b"connection: close" in head
+
+
 class RelayFleetCase(unittest.IsolatedAsyncioTestCase):
     """Base class of tests that each run on a new fleet of four hosts."""
 
@@ -244,6 +326,66 @@
         self.assertEqual(0, await host.wait())
 
 
+class CallersThatStay(unittest.IsolatedAsyncioTestCase):
+    """Callers without another ready node go on sending to a node that is stopping."""
+
+    async def asyncSetUp(self) -> None:
+        slow = ServerPlan(service="back", slots=200, service_time_s=0.4)
+        plans = [
+            RelayHostPlan(
+                name="entry", zone="east", server=ServerPlan(service="front")
+            ),
+            RelayHostPlan(name="back", zone="east", server=slow),
+        ]
+        routes = {"back": make_route("/back/", "back", kind="unsafe")}
+        self.fleet = RelayFleet(plans, config=make_config(1, routes))
+        await self.enterAsyncContext(self.fleet)
+        self.entry = self.fleet.hosts["entry"]
+        self.requests = StayingRequests(address=self.entry.callers)
+
+    def check_answered(self) -> None:
+        """Check that each request that ran was answered, and no refused one ran."""
+        runs = self.fleet.hosts["back"].server.runs
+        ran = {(run.header(b"lavenderway-attempt-id") or b"").decode() for run in runs}
+        answered = {name for name, status in self.requests.statuses.items() if status}
+        refused = {
+            name for name, status in self.requests.statuses.items() if status == 503
+        }
+        self.assertEqual(set(), ran - answered)
+        self.assertEqual(set(), ran & refused)
+        self.assertGreater(len(ran), 50)
+
+    async def test_stopping_node_drops_no_request_on_a_new_connection(self) -> None:
+        exited = asyncio.create_task(self.entry.wait())
+        sending = []
+        while not exited.done():
+            sending.append(asyncio.create_task(self.requests.send_on_new_connection()))
+            if len(sending) == 20:
+                self.entry.signal(signal.SIGTERM)
+            await asyncio.sleep(0.02)
+        await asyncio.gather(*sending)
+        self.check_answered()
+
+    async def test_stopping_node_drops_no_pipelined_request(self) -> None:
+        exited = asyncio.create_task(self.entry.wait())
+        self.entry.signal(signal.SIGTERM)
+        while not exited.done():
+            with contextlib.suppress(OSError):
+                await self.requests.send_pipeline(until=exited)
+            await asyncio.sleep(0.01)
+        self.check_answered()
+
+    async def test_refusal_of_a_stopping_node_states_when_to_return(self) -> None:
+        self.entry.signal(signal.SIGTERM)
+        exited = asyncio.create_task(self.entry.wait())
+        while not exited.done():
+            with contextlib.suppress(OSError):
+                await self.requests.send_on_new_connection()
+            await asyncio.sleep(0.02)
+        self.assertIn(503, self.requests.statuses.values())
+        self.assertEqual([], self.requests.refused_without_delay)
+
+
 class Configurations(RelayFleetCase):
     """A configuration takes effect on all nodes within seconds and never reverts."""
 
