Close connections of callers in two steps, so that no reset destroys a response

What callers saw: a response that announced the end of its connection was followed by a reset if the caller had sent another request by then. A reset discards what the caller has not received yet, so a response that was ready and written was lost.

Cause: the server closed the socket with bytes of the caller unread, which TCP answers with a reset (RFC 9112, section 9.6). Any close by the server could do so: a stop, an idle timeout, a refused input.

Change: the server closes its sending direction after the last response, discards what still arrives, and closes once the caller has closed, or after one second.

Measured: the new test failed before with 'ConnectionResetError: [Errno 104] Connection reset by peer' in the middle of the response; it passes now, as do the others of tests/relay/test_connections.py.

--- a/packages/lavenderway-relay/lavenderway_relay/server.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server.py
@@ -28,6 +28,10 @@
 MAX_PIPELINED_REQUESTS = 64  # per connection; reading pauses at this number
 DISCONNECT_CHECK_DELAY_S = 0.001  # any positive delay lets the loop read the socket
 HEADER_OVERHEAD_BYTES = 4  # colon, space, CR and LF
+# Time in which a client closes a connection that the server has closed in its
+# direction, in seconds. Closing at once would reset the connection if the client has
+# sent more, and the reset could destroy the last response on its way.
+LINGER_TIMEOUT_S = 1.0
 
 
 class _PendingRequest:
@@ -64,6 +68,7 @@
         "_headers",
         "_in_message",
         "_keep_alive",
+        "_linger_timer",
         "_parser",
         "_partial_head_bytes",
         "_pending",
@@ -96,6 +101,7 @@
         self._writing_paused = False
         self._discarding = False
         self._refusal_status = 0
+        self._linger_timer: asyncio.TimerHandle | None = None
         self.closing = False
         self.idle_since = server.loop.time()
         self.message_since: float | None = None
@@ -124,6 +130,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the connection's pending requests."""
         self._server.connections.discard(self)
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
         self._cancel_pending()
 
     def eof_received(self) -> bool:
@@ -275,12 +283,26 @@
         self._flush()
 
     def _close(self) -> None:
+        """Close the sending direction, then the connection once the client closes."""
+        if self._linger_timer is not None or self._transport.is_closing():
+            return
         self.closing = True
-        self._transport.close()
+        self._discarding = True
+        self._transport.write_eof()
+        if self._reading_paused:
+            self._reading_paused = False
+            self._transport.resume_reading()
+        self._linger_timer = self._server.loop.call_later(
+            LINGER_TIMEOUT_S, self._transport.close
+        )
 
     def _update_reading(self) -> None:
         pause = self._writing_paused or len(self._pending) >= MAX_PIPELINED_REQUESTS
-        if pause is self._reading_paused or self._transport.is_closing():
+        if (
+            self.closing
+            or pause is self._reading_paused
+            or self._transport.is_closing()
+        ):
             return
         self._reading_paused = pause
         if pause:
@@ -345,6 +367,7 @@
                 connection.abort()
             elif (
                 not connection.busy
+                and not connection.closing
                 and now - connection.idle_since > limits.idle_timeout_s
             ):
                 connection.close_when_idle()
--- a/tests/relay/test_connections.py
+++ b/tests/relay/test_connections.py
@@ -256,6 +256,7 @@
         self.address = Address("127.0.0.1", allocate_port())
         self.cancelled = 0
         self.seen: list[Request] = []
+        self.body = b""
         self.server = HttpServer(
             loop=asyncio.get_running_loop(),
             serve=self.serve,
@@ -274,7 +275,7 @@
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
-        return Response(200, [], request.target)
+        return Response(200, [], self.body or request.target)
 
     async def read(self, count: int = 4096) -> bytes:
         async with asyncio.timeout(2.0):
@@ -363,3 +364,19 @@
         self.assertIn(b"connection: close", response)
         self.assertTrue(response.endswith(b"/slow"))
         self.assertEqual(b"", await self.read())
+
+    async def test_stop_delivers_response_although_client_sends_more(self) -> None:
+        size = 4_000_000
+        self.body = b"x" * size
+        self.server.stop()
+        self.writer.write(b"GET /large HTTP/1.1\r\nhost: a\r\n\r\n")
+        await asyncio.sleep(0.05)
+        received = 0
+        while received < size:
+            self.writer.write(b"GET /behind HTTP/1.1\r\nhost: a\r\n\r\n")
+            data = await self.read(65_536)
+            self.assertNotEqual(b"", data)
+            received += len(data)
+        while await self.read():
+            pass
+        self.assertEqual([b"/large"], [request.target for request in self.seen])
