Take only requests that end before the exit of a stopping node

Callers met it that had no other ready node, because most nodes of their failure domain were stopping too: they go on sending, pipelined or on new connections.

Cause: the shutdown bounded the exit but not the intake. It waited for a moment without any request, at most until 0.6 s before the grace period ended, and meanwhile took every new request; a connection closed only after its last pending response, which a caller that pipelines never lets happen. At the exit the rest was dropped. The same end of the process dropped requests that were read between the last check and the exit.

Change: 2.4 s after SIGTERM, when callers that can move have moved, a root request is taken only if its time limit ends before the exit; any other is refused as not run, with Retry-After and the end of its connection. Calls of running requests are still taken. The node exits as soon as it is idle. At the last moment no server reads any more, each request in progress gets a response that tells whether it may have run, and the process waits until the responses are written.

--- a/packages/lavenderway-relay/lavenderway_relay/caller_handler.py
+++ b/packages/lavenderway-relay/lavenderway_relay/caller_handler.py
@@ -46,11 +46,12 @@
 MAX_TRIED_HOSTS = 4
 # Attempts per request that may have reached an upstream, rejections included.
 MAX_UPSTREAM_ATTEMPTS = 4
-# Delay after which a refused caller may retry, in seconds, like the next two. A change
-# of the host registry propagates within this time.
+# Delay after which a refused caller may retry, in seconds, like the next three. A
+# change of the host registry propagates within this time.
 NO_UPSTREAM_RETRY_AFTER_S = 0.5
 NO_ROOM_RETRY_AFTER_S = 0.5  # a full queue drains within this time
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5
+STOPPING_RETRY_AFTER_S = 1.5  # most nodes have restarted by then
 # Bounds of the retry delay of a workspace over its rate, before the jitter. A workspace
 # with a low rate rarely has a token sooner than the lower one; the upper one is a third
 # of the time that most callers wait for a response.
@@ -89,10 +90,17 @@
         self._random = random
         self._retry_budgets: dict[ServiceId, RetryBudget] = {}
         self._feedback = ResponseFeedback(state=state, loop=loop)
-        self._pending: set[RequestContext] = set()
+        self._in_progress = 0
+        self._routing: dict[RequestContext, asyncio.Task[Any]] = {}
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is in progress."""
+        return self._in_progress > 0
 
     async def serve(self, request: Request) -> Response:
         """Return the response to one request of a caller."""
+        self._in_progress += 1
         try:
             return await self._serve(request)
         except asyncio.CancelledError:
@@ -104,6 +112,8 @@
                 "request.fault", self._loop.time(), error=repr(error)
             )
             return refuse(Refusal.FAULT)
+        finally:
+            self._in_progress -= 1
 
     async def _serve(self, request: Request) -> Response:
         now = self._loop.time()
@@ -126,6 +136,8 @@
         context = self._make_context(
             request, request_id, route_table, route, workspace, now
         )
+        if context.parent is None and context.deadline > self._state.exit_at:
+            return self._refuse_as_stopping(context)
         if workspace is not None and not await self._take_token(context):
             wait_s = self._state.quota.retry_after_s(workspace, now)
             retry_after_s = self._jitter(
@@ -147,7 +159,7 @@
         task = asyncio.current_task(self._loop)
         assert task is not None
         timer = self._loop.call_at(context.deadline, self._expire, context, task)
-        self._pending.add(context)
+        self._routing[context] = task
         try:
             return await self._route_request(context)
         except asyncio.CancelledError:
@@ -162,20 +174,21 @@
             return self._time_out(context)
         finally:
             timer.cancel()
-            self._pending.discard(context)
+            del self._routing[context]
+
+    def interrupt(self, now: float, stop_requested_at: float) -> int:
+        """End the requests in progress, as the node exits; return their number.
 
-    def log_dropped(self, now: float, stop_requested_at: float) -> int:
-        """Log the requests that the exit of the node drops; return their number.
+        Each one gets a response that tells whether it may have run.
 
         Args:
             now: Event loop time, in seconds.
             stop_requested_at: Time at which the node was told to stop, in seconds.
 
         """
-        for context in self._pending:
-            self._state.metrics.count("requests", outcome="dropped")
+        for context, task in self._routing.items():
             self._state.log.failure(
-                "request.dropped",
+                "request.interrupted",
                 now,
                 request=context.request_id,
                 route=context.route.id,
@@ -184,21 +197,28 @@
                 peer=context.sent_to if context.in_flight else None,
                 arrivals=context.arrivals,
             )
-        return len(self._pending)
+            context.interrupted = True
+            self._expire(context, task)
+        return len(self._routing)
 
     def _expire(self, context: RequestContext, task: asyncio.Task[Any]) -> None:
-        context.expired = True
-        task.cancel()
+        if not context.expired:
+            context.expired = True
+            task.cancel()
 
     def _time_out(self, context: RequestContext) -> Response:
-        """Return the response to a request whose deadline has passed.
+        """Return the response to a request whose time is up.
 
         The token is refunded only if no attempt is in progress and none may have
-        reached an upstream. An attempt cancelled at the deadline counts as in progress.
+        reached an upstream. An attempt that has just been cancelled counts as in
+        progress.
         """
         if context.in_flight or context.arrivals:
-            return self._refuse(context.request, Refusal.TIMED_OUT, context)
+            reason = Refusal.INTERRUPTED if context.interrupted else Refusal.TIMED_OUT
+            return self._refuse(context.request, reason, context)
         self._refund_token(context)
+        if context.interrupted:
+            return self._refuse_as_stopping(context)
         return self._refuse(
             context.request,
             Refusal.EXPIRED,
@@ -206,6 +226,14 @@
             retry_after_s=NO_ROOM_RETRY_AFTER_S,
         )
 
+    def _refuse_as_stopping(self, context: RequestContext) -> Response:
+        """Return a refusal that also ends the caller's connection."""
+        retry_after_s = self._jitter(STOPPING_RETRY_AFTER_S)
+        response = self._refuse(
+            context.request, Refusal.STOPPING, context, retry_after_s=retry_after_s
+        )
+        return response._replace(reusable=False)
+
     def _make_context(
         self,
         request: Request,
--- a/packages/lavenderway-relay/lavenderway_relay/node.py
+++ b/packages/lavenderway-relay/lavenderway_relay/node.py
@@ -39,8 +39,11 @@
     idle_timeout_s=60.0,  # longer than a peer's pool keeps an idle connection
 )
 DEPARTURE_WRITE_TIMEOUT_S = 0.6  # announcements must get a response within a second
-MIN_DRAIN_S = 2.4  # callers leave after two failed readiness checks of a second each
+LEAVE_TIME_S = 2.4  # callers leave after two failed readiness checks of a second each
+MAX_LEAVE_SHARE = 0.5  # of the grace period; the rest is for completing what was taken
 EXIT_MARGIN_S = 0.6  # part of the grace period kept for writing the last responses
+WRITE_TIMEOUT_S = 0.3  # part of the margin in which callers take the last responses
+WRITE_POLL_INTERVAL_S = 0.005
 DRAIN_POLL_INTERVAL_S = 0.05
 SETTINGS_CHECK_TICKS = 10  # a change without SIGHUP is found within a second
 LAG_THRESHOLD_S = 0.03  # above it, callers have often left before their request is read
@@ -150,6 +153,7 @@
             refuse=refuse_malformed_input,
             limits=lambda: PEER_LIMITS,
         )
+        self._servers = [self._caller_server, self._peer_server]
         self._add_gauges()
 
     @property
@@ -178,6 +182,7 @@
         await self._caller_server.listen(settings.listeners.callers)
         for server, address in create_servers(self):
             await server.listen(address)
+            self._servers.append(server)
         self.state.log.state(
             "node.started",
             self._loop.time(),
@@ -186,20 +191,9 @@
         )
         tick_task = self.state.tasks.start(self._tick(), self._loop)
         await self._stop_requested.wait()
-        stop_requested_at = self._loop.time()
         await self._drain()
         tick_task.cancel()
         self._sync.stop()
-        now = self._loop.time()
-        self.state.log.state(
-            "node.stopped",
-            now,
-            ms=round((now - stop_requested_at) * 1e3),
-            dropped=self._caller_handler.log_dropped(now, stop_requested_at),
-            connections=len(self._caller_server.connections),
-            unwritten_bytes=self._caller_server.unwritten_bytes
-            + self._peer_server.unwritten_bytes,
-        )
         self.state.log.flush()
 
     async def handle_announcement(self, upstream: Upstream) -> None:
@@ -311,24 +305,50 @@
             server.next_tick_deadline = next_tick_deadline
 
     async def _drain(self) -> None:
-        """Complete the pending requests while callers and peers move to other nodes."""
+        """Complete the pending requests while callers and peers move to other nodes.
+
+        Callers without another ready node stay. Once the others have had time to leave,
+        the node exits as soon as it is idle, and takes only root requests that end
+        before its last moment.
+        """
+        state = self.state
         started = self._loop.time()
-        drain_deadline = started + self.state.settings.shutdown_grace_s - EXIT_MARGIN_S
-        self.state.serving = False
-        self.state.log.state("node.stopping", started)
+        grace_s = state.settings.shutdown_grace_s
+        exit_at = started + grace_s - EXIT_MARGIN_S
+        state.serving = False
+        state.log.state("node.stopping", started)
         self._upstream_runner.stopping = True
         self._caller_server.stop()
         self._sync.publish()
-        while (now := self._loop.time()) < drain_deadline:
+        await asyncio.sleep(min(LEAVE_TIME_S, MAX_LEAVE_SHARE * grace_s))
+        state.exit_at = exit_at
+        self._peer_server.stop()
+        while (now := self._loop.time()) < exit_at:
+            self._caller_server.close_when_idle(now)
+            if not self._caller_handler.busy and not self._upstream_runner.busy:
+                break
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-            if now - started < MIN_DRAIN_S:
-                continue
-            self._caller_server.close_when_idle()
-            if not self._caller_server.busy and not self._upstream_runner.busy:
+        state.exit_at = now
+        interrupted = self._caller_handler.interrupt(now, started)
+        await self._close_servers()
+        now = self._loop.time()
+        state.log.state(
+            "node.stopped",
+            now,
+            ms=round((now - started) * 1e3),
+            interrupted=interrupted,
+            unwritten_bytes=sum(server.unwritten_bytes for server in self._servers),
+        )
+
+    async def _close_servers(self) -> None:
+        """Take no more requests, and write the responses to those taken."""
+        deadline = self._loop.time() + WRITE_TIMEOUT_S
+        for server in self._servers:
+            server.close()
+        while self._loop.time() < deadline:
+            if not any(server.connections for server in self._servers):
                 break
-        self._caller_server.close()
-        self._peer_server.close()
-        await asyncio.sleep(0)
+            await asyncio.sleep(WRITE_POLL_INTERVAL_S)
 
     def _reload(self) -> None:
         """Read the settings again.
--- a/packages/lavenderway-relay/lavenderway_relay/refusals.py
+++ b/packages/lavenderway-relay/lavenderway_relay/refusals.py
@@ -25,8 +25,10 @@
     NO_ROOM = "no-room"
     NO_UPSTREAM = "no-upstream"
     NO_CONFIGURATION = "no-configuration"
+    STOPPING = "stopping"
     EXPIRED = "expired"
     TIMED_OUT = "timed-out"
+    INTERRUPTED = "interrupted"
     UNKNOWN = "unknown"
     FAULT = "fault"
 
@@ -65,12 +67,18 @@
     Refusal.NO_CONFIGURATION: _ResponseTemplate(
         HTTPStatus.SERVICE_UNAVAILABLE, True, "The node knows no configuration yet."
     ),
+    Refusal.STOPPING: _ResponseTemplate(
+        HTTPStatus.SERVICE_UNAVAILABLE, True, "The node is shutting down."
+    ),
     Refusal.EXPIRED: _ResponseTemplate(
         HTTPStatus.SERVICE_UNAVAILABLE, True, "The time is up and it has not run."
     ),
     Refusal.TIMED_OUT: _ResponseTemplate(
         HTTPStatus.GATEWAY_TIMEOUT, False, "The upstream did not answer in time."
     ),
+    Refusal.INTERRUPTED: _ResponseTemplate(
+        HTTPStatus.BAD_GATEWAY, False, "The node stopped before the upstream answered."
+    ),
     Refusal.UNKNOWN: _ResponseTemplate(
         HTTPStatus.BAD_GATEWAY, False, "The upstream gave no usable answer."
     ),
--- a/packages/lavenderway-relay/lavenderway_relay/request_context.py
+++ b/packages/lavenderway-relay/lavenderway_relay/request_context.py
@@ -39,7 +39,8 @@
         sent_to: Host of the last attempt.
         sent_at: Time at which the last attempt started, in seconds.
         in_flight: Whether an attempt is in progress.
-        expired: Whether the deadline has passed.
+        expired: Whether the deadline has passed, or the node exits.
+        interrupted: Whether the exit of the node, not the deadline, ends the request.
         attempt_timed_out: Whether the current attempt has timed out and its retry has
             been charged to the retry budget.
         last_outcome: Outcome of the last attempt.
@@ -67,6 +68,7 @@
     sent_at: float = 0.0
     in_flight: bool = False
     expired: bool = False
+    interrupted: bool = False
     attempt_timed_out: bool = False
     last_outcome: Outcome | None = None
     server_error: Response | None = None
--- a/packages/lavenderway-relay/lavenderway_relay/server.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server.py
@@ -32,6 +32,7 @@
 # direction, in seconds. Closing at once would reset the connection if the client has
 # sent more, and the reset could destroy the last response on its way.
 LINGER_TIMEOUT_S = 1.0
+FIRST_REQUEST_DELAY_S = 0.2  # a new connection's first request arrives within this time
 
 
 class _PendingRequest:
@@ -236,6 +237,13 @@
         if not self.busy:
             self._close()
 
+    def take_no_more(self) -> None:
+        """Discard further input and close after the last pending response."""
+        self._discarding = True
+        self._in_message = False
+        self.message_since = None
+        self.close_when_idle()
+
     def abort(self) -> None:
         """Abort the connection without writing pending responses."""
         self._transport.abort()
@@ -254,11 +262,12 @@
             response = self._pending.popleft().response
             assert response is not None
             last = not self._pending and not self._in_message
-            stopping = self._server.stopping and last
-            close = (not self._keep_alive and last) or stopping
+            stopping = self._server.stopping or not self._keep_alive
+            close = (stopping and last) or not response.reusable
             pieces.append(encode_response(response, close=close))
             if close:
                 self._transport.write(b"".join(pieces))
+                self._cancel_pending()
                 self._close()
                 return
         if pieces and not self.closing:
@@ -380,10 +389,14 @@
         """Close each connection after the response to its last pending request."""
         self.stopping = True
 
-    def close_when_idle(self) -> None:
-        """Close idle connections now and the others after their last response."""
+    def close_when_idle(self, now: float) -> None:
+        """Close idle connections now and the others after their last response.
+
+        New connections stay open until their first request.
+        """
         for connection in tuple(self.connections):
-            connection.close_when_idle()
+            if connection.busy or now - connection.idle_since > FIRST_REQUEST_DELAY_S:
+                connection.close_when_idle()
 
     @property
     def busy(self) -> bool:
@@ -396,6 +409,8 @@
         return sum(connection.unwritten_bytes for connection in self.connections)
 
     def close(self) -> None:
-        """Stop accepting connections; open ones stay open."""
+        """Stop accepting connections and requests; pending ones get their responses."""
         if self._server is not None:
             self._server.close()
+        for connection in tuple(self.connections):
+            connection.take_no_more()
--- a/packages/lavenderway-relay/lavenderway_relay/state.py
+++ b/packages/lavenderway-relay/lavenderway_relay/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -48,6 +49,8 @@
         document: The active configuration as stored, in encoded form; empty until the
             first one is loaded.
         serving: False once the node has been told to stop.
+        exit_at: Event loop time at which the node exits at the latest, in seconds. Set
+            once its callers have had time to move to other nodes; infinite before.
         started_ms: Wall-clock start of the process, in milliseconds.
         lag_s: Delay of the event loop's timers, in seconds.
         tasks: Background tasks of the node.
@@ -69,6 +72,7 @@
     route_table: RouteTable | None = None
     document: bytes = b""
     serving: bool = True
+    exit_at: float = math.inf
     started_ms: int = 0
     lag_s: float = 0.0
     tasks: BackgroundTasks = field(init=False)
--- a/tests/end_to_end/test_relay_fleet.py
+++ b/tests/end_to_end/test_relay_fleet.py
@@ -62,7 +62,7 @@
 
     """
 
-    PIPELINE_INTERVAL_S = 0.05
+    PIPELINE_INTERVAL_S = 0.02
 
     def __init__(self, *, address: Address) -> None:
         self._address = address
@@ -355,7 +355,8 @@
         self.assertEqual(set(), ran & refused)
         self.assertGreater(len(ran), 50)
 
-    async def test_stopping_node_drops_no_request_on_a_new_connection(self) -> None:
+    async def send_until_exit(self) -> None:
+        """Stop the entry node and open a connection every 20 ms until it is gone."""
         exited = asyncio.create_task(self.entry.wait())
         sending = []
         while not exited.done():
@@ -364,6 +365,9 @@
                 self.entry.signal(signal.SIGTERM)
             await asyncio.sleep(0.02)
         await asyncio.gather(*sending)
+
+    async def test_stopping_node_drops_no_request_on_a_new_connection(self) -> None:
+        await self.send_until_exit()
         self.check_answered()
 
     async def test_stopping_node_drops_no_pipelined_request(self) -> None:
@@ -376,12 +380,7 @@
         self.check_answered()
 
     async def test_refusal_of_a_stopping_node_states_when_to_return(self) -> None:
-        self.entry.signal(signal.SIGTERM)
-        exited = asyncio.create_task(self.entry.wait())
-        while not exited.done():
-            with contextlib.suppress(OSError):
-                await self.requests.send_on_new_connection()
-            await asyncio.sleep(0.02)
+        await self.send_until_exit()
         self.assertIn(503, self.requests.statuses.values())
         self.assertEqual([], self.requests.refused_without_delay)
 
--- a/tests/relay/test_caller_handler.py
+++ b/tests/relay/test_caller_handler.py
@@ -340,6 +340,50 @@
                 await sending
 
 
+class ExitingNode(CallerHandlerCase):
+    """Root requests that cannot end before the exit of the node are refused."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.loop = asyncio.get_running_loop()
+
+    async def test_request_that_outlasts_the_exit_is_refused(self) -> None:
+        self.state.exit_at = self.loop.time() + 0.2
+        response = await self.send()
+        self.assertEqual((503, False), (response.status, response.reusable))
+        self.assertIsNotNone(response.header(b"retry-after"))
+        self.assertEqual([], self.peer_client.sent)
+
+    async def test_request_that_ends_before_the_exit_is_taken(self) -> None:
+        self.state.exit_at = self.loop.time() + 0.5
+        self.assertEqual(200, (await self.send()).status)
+
+    async def test_call_of_a_running_request_is_taken(self) -> None:
+        self.state.exit_at = self.loop.time()
+        running = RunningRequest(
+            position=0.0, workspace=None, target_at=0.0, retry=False
+        )
+        self.state.running_requests.begin(b"parent", running)
+        headers = [
+            (b"host", b"app.example"),
+            (PLATFORM_HEADER_NAMES.request_id, b"parent.1"),
+        ]
+        response = await self.caller_handler.serve(Request(b"GET", b"/x", headers, b""))
+        self.assertEqual(200, response.status)
+
+    async def test_interrupted_request_is_answered_as_unknown(self) -> None:
+        self.peer_client.hangs = True
+        sending = asyncio.create_task(self.send())
+        await asyncio.sleep(0.01)
+        self.assertTrue(self.caller_handler.busy)
+        now = self.loop.time()
+        self.assertEqual(1, self.caller_handler.interrupt(now, now))
+        response = await sending
+        self.assertEqual(502, response.status)
+        self.assertEqual(b"unknown", response.header(b"lavenderway-outcome"))
+        self.assertFalse(self.caller_handler.busy)
+
+
 class UnansweredAtMostOnceRequests(CallerHandlerCase):
     """A request that may run only once is not retried after a lost response."""
 
--- a/tests/relay/test_connections.py
+++ b/tests/relay/test_connections.py
@@ -275,7 +275,8 @@
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
-        return Response(200, [], self.body or request.target)
+        reusable = request.target != b"/last"
+        return Response(200, [], self.body or request.target, reusable)
 
     async def read(self, count: int = 4096) -> bytes:
         async with asyncio.timeout(2.0):
@@ -380,3 +381,29 @@
         while await self.read():
             pass
         self.assertEqual([b"/large"], [request.target for request in self.seen])
+
+    async def test_response_that_ends_the_connection_cancels_requests_behind(
+        self,
+    ) -> None:
+        first = b"GET /last HTTP/1.1\r\nhost: a\r\n\r\n"
+        behind = b"GET /slow HTTP/1.1\r\nhost: a\r\n\r\n"
+        self.writer.write(first + behind)
+        response = await self.read()
+        self.assertIn(b"connection: close", response)
+        self.assertTrue(response.endswith(b"/last"))
+        self.assertEqual(b"", await self.read())
+        self.assertEqual(1, self.cancelled)
+
+    async def test_closed_server_completes_requests_but_takes_no_more(self) -> None:
+        self.writer.write(b"GET /slow HTTP/1.1\r\nhost: a\r\n\r\n")
+        await asyncio.sleep(0.02)
+        self.server.close()
+        self.writer.write(b"GET /behind HTTP/1.1\r\nhost: a\r\n\r\n")
+        self.assertTrue((await self.read()).endswith(b"/slow"))
+        self.assertEqual(b"", await self.read())
+        self.assertEqual([b"/slow"], [request.target for request in self.seen])
+
+    async def test_new_connection_stays_open_until_its_first_request(self) -> None:
+        self.server.close_when_idle(asyncio.get_running_loop().time())
+        self.writer.write(b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n")
+        self.assertTrue((await self.read()).endswith(b"/x"))
