Count only the bytes of a begun head against the head size limit

Callers that pipeline were answered 431, which no caller retries, although each of their requests was small: when the data read at once held complete requests and the beginning of another head, the whole of it was counted as that head. A body that ends in the same read had the same effect.

Before the fix, thirty pipelined requests of 33 bytes and the beginning of another got thirty responses and a 431 under a limit of 500 bytes (HeadSizes.test_begin_of_head_behind_pipelined_requests: 31 != 30).

Data that ends a request no longer counts for the head that begins behind it. The size check of the complete head is exact and unchanged; later data of an incomplete head still counts in full, which bounds the memory it takes.

--- a/packages/lavenderway-relay/lavenderway_relay/server.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server.py
@@ -64,6 +64,7 @@
         "_headers",
         "_in_message",
         "_keep_alive",
+        "_message_completed",
         "_parser",
         "_partial_head_bytes",
         "_pending",
@@ -92,6 +93,7 @@
         self._expects_continue = False
         self._in_message = False
         self._keep_alive = True
+        self._message_completed = False
         self._reading_paused = False
         self._writing_paused = False
         self._discarding = False
@@ -147,6 +149,7 @@
         """Parse received bytes."""
         if self._discarding:
             return
+        self._message_completed = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -154,7 +157,8 @@
         except httptools.HttpParserError:
             self._refuse(self._refusal_status or HTTPStatus.BAD_REQUEST)
         else:
-            if self.message_since is not None:
+            # Behind a complete request, the length of the begun head is not known.
+            if self.message_since is not None and not self._message_completed:
                 self._check_partial_head_size(len(data))
 
     def _check_partial_head_size(self, byte_count: int) -> None:
@@ -206,6 +210,7 @@
     def on_message_complete(self) -> None:
         """Start processing the complete request."""
         self._in_message = False
+        self._message_completed = True
         if not self._parser.should_keep_alive():
             self._keep_alive = False
         body = b"".join(self._body)
--- /dev/null
+++ b/tests/relay/test_server.py
@@ -0,0 +1,101 @@
+"""Tests of the HTTP server with clients that pipeline, pause or read slowly."""
+
+import asyncio
+import socket
+import unittest
+
+from lavenderway_dev.store_standin import allocate_port
+from lavenderway_relay.messages import Request, Response
+from lavenderway_relay.model import Address, Limits
+from lavenderway_relay.refusals import refuse_malformed_input
+from lavenderway_relay.server import HttpServer
+
+LIMITS = Limits(head_bytes=500, body_bytes=100, head_timeout_s=0.2, idle_timeout_s=0.2)
+SLOW_S = 0.6  # response time of targets with `slow`
+BIG_BODY_BYTES = 3_000_000  # exceeds the socket buffers of a slow reader
+CLOSE_HEADER = b"connection: close\r\n"
+
+
+def encode_get(target: bytes, headers: bytes = b"") -> bytes:
+    return b"GET %b HTTP/1.1\r\nhost: a\r\n%b\r\n" % (target, headers)
+
+
+class ServerCase(unittest.IsolatedAsyncioTestCase):
+    """Base class of tests that each use a new server and one connection to it."""
+
+    receive_buffer_bytes = 0  # 0 keeps the default of the system
+
+    async def asyncSetUp(self) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.address = Address("127.0.0.1", allocate_port())
+        self.limits = LIMITS
+        self.seen: list[bytes] = []
+        self.server = HttpServer(
+            loop=self.loop,
+            serve=self.serve,
+            refuse=refuse_malformed_input,
+            limits=lambda: self.limits,
+        )
+        await self.server.listen(self.address)
+        self.addCleanup(self.server.close)
+        self.client = socket.socket()
+        self.addCleanup(self.client.close)
+        if self.receive_buffer_bytes:
+            self.client.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer_bytes
+            )
+        self.client.setblocking(False)
+        await self.loop.sock_connect(self.client, self.address)
+
+    async def serve(self, request: Request) -> Response:
+        self.seen.append(request.target)
+        if b"slow" in request.target:
+            await asyncio.sleep(SLOW_S)
+        size = BIG_BODY_BYTES if b"big" in request.target else 0
+        return Response(200, [], request.target + b"." * size)
+
+    async def send(self, data: bytes) -> None:
+        await self.loop.sock_sendall(self.client, data)
+
+    async def read_until(self, text: bytes, timeout_s: float = 2.0) -> bytes:
+        """Return what is received up to a text or the end of the stream."""
+        received = b""
+        async with asyncio.timeout(timeout_s):
+            while text not in received:
+                data = await self.loop.sock_recv(self.client, 65_536)
+                if not data:
+                    break
+                received += data
+        return received
+
+    async def read_to_end(self, timeout_s: float = 5.0) -> bytes:
+        """Return what is received up to the end of the stream."""
+        received = bytearray()
+        async with asyncio.timeout(timeout_s):
+            while data := await self.loop.sock_recv(self.client, 65_536):
+                received += data
+        return bytes(received)
+
+    async def tick_for(self, duration_s: float) -> None:
+        """Close idle connections every 50 ms, like the tick of a node."""
+        end = self.loop.time() + duration_s
+        while self.loop.time() < end:
+            self.server.close_idle(self.loop.time())
+            await asyncio.sleep(0.05)
+
+
+class HeadSizes(ServerCase):
+    """The size limit applies to each head, not to all input that is read at once."""
+
+    async def test_begin_of_head_behind_pipelined_requests(self) -> None:
+        await self.send(encode_get(b"/x") * 30 + b"GET /last HTTP/1.1\r\nho")
+        await asyncio.sleep(0.05)
+        await self.send(b"st: a\r\n\r\n")
+        received = await self.read_until(b"/last")
+        self.assertEqual(31, received.count(b"HTTP/1.1 200 "))
+
+    async def test_head_sent_in_pieces_is_limited(self) -> None:
+        await self.send(encode_get(b"/x") + b"GET / HTTP/1.1\r\nx: ")
+        await asyncio.sleep(0.05)
+        await self.send(b"a" * 600)
+        self.assertIn(b"HTTP/1.1 431 ", await self.read_to_end())
