Answer pipelined requests before a late request head ends the connection

A caller that pipelines lost requests that were in progress when the head of its next request took longer than the head timeout: the connection was aborted, which cancelled them at their upstreams. The node did that even where it had itself stopped reading, because 64 requests were pending or the client had not taken its responses, so that the rest of the head could not arrive.

Before the fix, the response to /slow is missing (SlowHeads .test_slow_head_does_not_drop_pipelined_request: 1 != 0), and 64 pending requests end with a reset (.test_head_that_server_does_not_read_is_not_late: ConnectionResetError).

A late head behind requests in progress, or behind responses that are not written yet, is now refused with 408 after their responses. A connection with neither is still aborted. The time limit does not run while reading is paused and starts anew when it resumes.

--- a/packages/lavenderway-relay/lavenderway_relay/refusals.py
+++ b/packages/lavenderway-relay/lavenderway_relay/refusals.py
@@ -18,6 +18,7 @@
 
     MALFORMED = "malformed"
     TOO_LARGE = "too-large"
+    TOO_SLOW = "too-slow"
     NO_KEY = "no-key"
     NO_ROUTE = "no-route"
     OVER_RATE = "over-rate"
@@ -44,6 +45,9 @@
     Refusal.TOO_LARGE: _ResponseTemplate(
         HTTPStatus.REQUEST_ENTITY_TOO_LARGE, True, "The request is too large."
     ),
+    Refusal.TOO_SLOW: _ResponseTemplate(
+        HTTPStatus.REQUEST_TIMEOUT, True, "The request head took too long to arrive."
+    ),
     Refusal.NO_KEY: _ResponseTemplate(
         HTTPStatus.UNAUTHORIZED, True, "The route needs a key that is in force."
     ),
@@ -79,6 +83,11 @@
     ),
 }
 
+_REASONS_BY_STATUS: dict[int, Refusal] = {
+    HTTPStatus.BAD_REQUEST: Refusal.MALFORMED,
+    HTTPStatus.REQUEST_TIMEOUT: Refusal.TOO_SLOW,
+}
+
 
 def refuse(
     reason: Refusal,
@@ -114,6 +123,5 @@
         status: Status code that the HTTP server chose.
 
     """
-    too_large = status != HTTPStatus.BAD_REQUEST
-    reason = Refusal.TOO_LARGE if too_large else Refusal.MALFORMED
+    reason = _REASONS_BY_STATUS.get(status, Refusal.TOO_LARGE)
     return refuse(reason, status=status)
--- a/packages/lavenderway-relay/lavenderway_relay/server.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server.py
@@ -50,8 +50,8 @@
         closing: Whether the connection is closed or about to close.
         idle_since: When the connection was made or last written to, in event loop
             seconds.
-        message_since: When the request head being read began, in event loop
-            seconds; None if no head is being read.
+        message_since: When the request head being read began, or reading resumed, in
+            event loop seconds; None if no head is being read.
 
     """
 
@@ -228,6 +228,26 @@
         if not self.busy:
             self._close()
 
+    def is_head_late(self, now: float, timeout_s: float) -> bool:
+        """Return whether the client takes too long to send a request head.
+
+        Args:
+            now: Event loop time, in seconds.
+            timeout_s: Longest time for a head to arrive, in seconds.
+
+        """
+        since = self.message_since
+        return (
+            since is not None and not self._reading_paused and now - since > timeout_s
+        )
+
+    def refuse_late_head(self) -> None:
+        """Close the connection after the responses to earlier requests."""
+        if self._pending or self._transport.get_write_buffer_size():
+            self._refuse(HTTPStatus.REQUEST_TIMEOUT)
+        else:
+            self.abort()
+
     def abort(self) -> None:
         """Abort the connection without writing pending responses."""
         self._transport.abort()
@@ -286,6 +306,8 @@
         if pause:
             self._transport.pause_reading()
         else:
+            if self.message_since is not None:
+                self.message_since = self._server.loop.time()
             self._transport.resume_reading()
 
 
@@ -337,12 +359,11 @@
         )
 
     def close_idle(self, now: float) -> None:
-        """Close idle connections; abort those whose request head takes too long."""
+        """Close connections that are idle or whose request head takes too long."""
         limits = self.limits()
         for connection in tuple(self.connections):
-            since = connection.message_since
-            if since is not None and now - since > limits.head_timeout_s:
-                connection.abort()
+            if connection.is_head_late(now, limits.head_timeout_s):
+                connection.refuse_late_head()
             elif (
                 not connection.busy
                 and now - connection.idle_since > limits.idle_timeout_s
--- a/tests/relay/test_server.py
+++ b/tests/relay/test_server.py
@@ -8,7 +8,7 @@
 from lavenderway_relay.messages import Request, Response
 from lavenderway_relay.model import Address, Limits
 from lavenderway_relay.refusals import refuse_malformed_input
-from lavenderway_relay.server import HttpServer
+from lavenderway_relay.server import MAX_PIPELINED_REQUESTS, HttpServer
 
 LIMITS = Limits(head_bytes=500, body_bytes=100, head_timeout_s=0.2, idle_timeout_s=0.2)
 SLOW_S = 0.6  # response time of targets with `slow`
@@ -99,3 +99,25 @@
         await asyncio.sleep(0.05)
         await self.send(b"a" * 600)
         self.assertIn(b"HTTP/1.1 431 ", await self.read_to_end())
+
+
+class SlowHeads(ServerCase):
+    """The time limit of a request head drops no complete request."""
+
+    async def test_slow_head_does_not_drop_pipelined_request(self) -> None:
+        await self.send(encode_get(b"/slow") + b"GET /late HTTP/1.1\r\nho")
+        await self.tick_for(0.4)
+        received = await self.read_to_end()
+        self.assertEqual(1, received.count(b"/slow"))
+        self.assertIn(b"HTTP/1.1 408 ", received)
+        self.assertEqual([b"/slow"], self.seen)
+
+    async def test_head_that_server_does_not_read_is_not_late(self) -> None:
+        requests = encode_get(b"/slow") * MAX_PIPELINED_REQUESTS
+        await self.send(requests + b"GET /last HTTP/1.1\r\nho")
+        await asyncio.sleep(0.05)
+        await self.send(b"st: a\r\n\r\n")
+        await self.tick_for(SLOW_S - 0.1)
+        received = await self.read_until(b"/last")
+        self.assertEqual(MAX_PIPELINED_REQUESTS, received.count(b"/slow"))
+        self.assertIn(b"/last", received)
