Read what has arrived before closing overdue connections

Callers of a node that had been suspended lost the requests that they sent meanwhile. A timer that is due runs before the event loop reads its sockets: libuv leaves the interrupted poll without events once the time of its next timer has passed. So the first tick judged request heads and idle connections by a time in which the node had read nothing, and closed connections whose request lay complete in the socket.

A tick now only selects the connections that look overdue. They are judged again after a short delay, within which the loop reads its sockets, and closed if nothing has arrived.

--- a/packages/lavenderway-relay/lavenderway_relay/server.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server.py
@@ -26,7 +26,7 @@
     from lavenderway_relay.model import Address
 
 MAX_PIPELINED_REQUESTS = 64  # per connection; reading pauses at this number
-DISCONNECT_CHECK_DELAY_S = 0.001  # any positive delay lets the loop read the socket
+READ_DELAY_S = 0.001  # any positive delay lets the loop read the socket
 HEADER_OVERHEAD_BYTES = 4  # colon, space, CR and LF
 
 
@@ -237,9 +237,19 @@
 
         """
         since = self.message_since
-        return (
-            since is not None and not self._reading_paused and now - since > timeout_s
-        )
+        if since is None or self.closing or self._reading_paused:
+            return False
+        return now - since > timeout_s
+
+    def is_idle(self, now: float, timeout_s: float) -> bool:
+        """Return whether no request has been in progress for longer than a timeout.
+
+        Args:
+            now: Event loop time, in seconds.
+            timeout_s: Idle timeout, in seconds.
+
+        """
+        return not self.busy and not self.closing and now - self.idle_since > timeout_s
 
     def refuse_late_head(self) -> None:
         """Close the connection after the responses to earlier requests."""
@@ -256,7 +266,7 @@
         if self._server.may_be_lagging():
             # The client may have disconnected since it sent the request. The delay lets
             # the event loop process the disconnect first, which cancels this task.
-            await asyncio.sleep(DISCONNECT_CHECK_DELAY_S)
+            await asyncio.sleep(READ_DELAY_S)
         pending.response = await self._server.serve(request)
         self._flush()
 
@@ -359,15 +369,30 @@
         )
 
     def close_idle(self, now: float) -> None:
-        """Close connections that are idle or whose request head takes too long."""
+        """Close connections that are idle or whose request head takes too long.
+
+        Input that has arrived is read first, as the event loop may not have run for
+        some time, for example because the process was suspended.
+        """
         limits = self.limits()
-        for connection in tuple(self.connections):
+        overdue = [
+            connection
+            for connection in self.connections
+            if connection.is_head_late(now, limits.head_timeout_s)
+            or connection.is_idle(now, limits.idle_timeout_s)
+        ]
+        if overdue:
+            self.loop.call_later(
+                READ_DELAY_S, self._close_overdue, overdue, now, limits
+            )
+
+    def _close_overdue(
+        self, connections: list[ServerConnection], now: float, limits: Limits
+    ) -> None:
+        for connection in connections:
             if connection.is_head_late(now, limits.head_timeout_s):
                 connection.refuse_late_head()
-            elif (
-                not connection.busy
-                and now - connection.idle_since > limits.idle_timeout_s
-            ):
+            elif connection.is_idle(now, limits.idle_timeout_s):
                 connection.close_when_idle()
 
     def may_be_lagging(self) -> bool:
--- a/tests/end_to_end/test_relay_fleet.py
+++ b/tests/end_to_end/test_relay_fleet.py
@@ -362,6 +362,45 @@
                 await asyncio.sleep(0.05)
 
 
+class SuspendedNode(RelayFleetCase):
+    """A request that arrives while the process is suspended is answered."""
+
+    head = b"GET /back/x HTTP/1.1\r\nhost: app.example\r\nlavenderway-attempt-id: 1\r\n"
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        callers = self.fleet.hosts["slow"].callers
+        reader, writer = await asyncio.open_connection(*callers)
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def read_response(self, reader: asyncio.StreamReader) -> None:
+        async with asyncio.timeout(3.0):
+            self.assertIn(b" 200 ", await reader.readuntil(b"\r\n\r\n"))
+            await reader.readexactly(len(b"served /back/x"))
+
+    async def test_repeated_suspensions(self) -> None:
+        config = make_config(2, ROUTES, TENANTS)
+        limits = {"header-timeout": "500ms", "idle-timeout": "500ms"}
+        self.fleet.configure({**config, "limits": {**config["limits"], **limits}})
+        await asyncio.sleep(0.5)  # the nodes read the configuration
+        host = self.fleet.hosts["slow"]
+        for _ in range(3):  # whether timers or sockets come first varies
+            idle_reader, idle_writer = await self.connect()
+            idle_writer.write(self.head + b"\r\n")
+            await self.read_response(idle_reader)
+            head_reader, head_writer = await self.connect()
+            head_writer.write(self.head)
+            await asyncio.sleep(0.1)
+            host.signal(signal.SIGSTOP)
+            await asyncio.sleep(0.1)
+            idle_writer.write(self.head + b"\r\n")
+            head_writer.write(b"\r\n")
+            await asyncio.sleep(0.7)
+            host.signal(signal.SIGCONT)
+            await self.read_response(idle_reader)
+            await self.read_response(head_reader)
+
+
 class Rates(RelayFleetCase):
     """The rate and burst of a workspace hold over the whole fleet."""
 
--- a/tests/relay/test_server.py
+++ b/tests/relay/test_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 import unittest
 
 from lavenderway_dev.store_standin import allocate_port
@@ -121,3 +122,23 @@
         received = await self.read_until(b"/last")
         self.assertEqual(MAX_PIPELINED_REQUESTS, received.count(b"/slow"))
         self.assertIn(b"/last", received)
+
+
+class BlockedEventLoop(ServerCase):
+    """Input that arrived before the loop could read it counts as received."""
+
+    async def test_head_received_meanwhile_is_not_late(self) -> None:
+        await self.send(b"GET /x HTTP/1.1\r\nho")
+        await asyncio.sleep(0.02)
+        self.client.send(b"st: a\r\n\r\n")
+        time.sleep(0.3)
+        self.server.close_idle(self.loop.time())  # before the loop reads the rest
+        self.assertIn(b"/x", await self.read_until(b"/x"))
+
+    async def test_connection_with_unread_request_is_not_idle(self) -> None:
+        await self.send(encode_get(b"/first"))
+        await self.read_until(b"/first")
+        self.client.send(encode_get(b"/second"))
+        time.sleep(0.3)
+        self.server.close_idle(self.loop.time())  # before the loop reads the request
+        self.assertIn(b"/second", await self.read_until(b"/second"))
