Keep a closing connection open until the client has received its responses

Callers lost a complete response when they sent anything behind the last request of a connection: the next pipelined request to a stopping node, or the rest of an oversized body. Closing a socket that has unread input resets the connection, and Linux then drops what is left of the response in the send queue, as it does if input arrives after the close. A client that reads slowly, or whose response is larger than its receive window, got a truncated response.

As RFC 9112, section 9.6 prescribes, the connection is now half-closed after its last response, and input is read and discarded until the client closes or has received the response and kept the connection for another second. The same holds for an idle connection that a stop closes while the client still receives the response; otherwise idle connections close at once as before, so that a request that crosses the close is never read.

--- a/packages/lavenderway-relay/lavenderway_relay/_sockets.py
+++ b/packages/lavenderway-relay/lavenderway_relay/_sockets.py
@@ -1,9 +1,11 @@
-"""Socket helpers for listening, dead peer detection and connection resets."""
+"""Socket helpers for listening, dead peer detection and the end of connections."""
 
 from __future__ import annotations
 
+import fcntl
 import socket
 import struct
+import termios
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -88,6 +90,18 @@
     transport.abort()
 
 
+def count_unacknowledged_bytes(transport: asyncio.Transport) -> int:
+    """Return the number of written bytes that the peer has not acknowledged yet."""
+    unsent = transport.get_write_buffer_size()
+    sock = transport.get_extra_info("socket")
+    if sock is None or transport.is_closing():
+        return unsent
+    (unacknowledged,) = struct.unpack(
+        "i", fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    )
+    return unsent + int(unacknowledged)
+
+
 def has_pending_error(transport: asyncio.Transport) -> bool:
     """Return whether an apparent end of stream is in fact a reset.
 
--- a/packages/lavenderway-relay/lavenderway_relay/server.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server.py
@@ -14,7 +14,11 @@
 
 import httptools
 
-from lavenderway_relay._sockets import bind_socket, set_unacknowledged_timeout
+from lavenderway_relay._sockets import (
+    bind_socket,
+    count_unacknowledged_bytes,
+    set_unacknowledged_timeout,
+)
 from lavenderway_relay.messages import Request, encode_response
 from lavenderway_relay.model import Limits
 
@@ -27,6 +31,7 @@
 
 MAX_PIPELINED_REQUESTS = 64  # per connection; reading pauses at this number
 READ_DELAY_S = 0.001  # any positive delay lets the loop read the socket
+LINGER_TIMEOUT_S = 1.0  # for the client to close after its last response
 HEADER_OVERHEAD_BYTES = 4  # colon, space, CR and LF
 
 
@@ -64,6 +69,7 @@
         "_headers",
         "_in_message",
         "_keep_alive",
+        "_linger_timer",
         "_message_completed",
         "_parser",
         "_partial_head_bytes",
@@ -93,6 +99,7 @@
         self._expects_continue = False
         self._in_message = False
         self._keep_alive = True
+        self._linger_timer: asyncio.TimerHandle | None = None
         self._message_completed = False
         self._reading_paused = False
         self._writing_paused = False
@@ -121,6 +128,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the connection's pending requests."""
         self._server.connections.discard(self)
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
         self._cancel_pending()
 
     def eof_received(self) -> bool:
@@ -225,8 +234,13 @@
     def close_when_idle(self) -> None:
         """Close now if no request is in progress, else after the last response."""
         self._keep_alive = False
-        if not self.busy:
+        if self.busy or self.closing:
+            return
+        if count_unacknowledged_bytes(self._transport):
             self._close()
+        else:
+            self.closing = True
+            self._transport.close()
 
     def is_head_late(self, now: float, timeout_s: float) -> bool:
         """Return whether the client takes too long to send a request head.
@@ -253,13 +267,14 @@
 
     def refuse_late_head(self) -> None:
         """Close the connection after the responses to earlier requests."""
-        if self._pending or self._transport.get_write_buffer_size():
+        if self._pending or count_unacknowledged_bytes(self._transport):
             self._refuse(HTTPStatus.REQUEST_TIMEOUT)
         else:
             self.abort()
 
     def abort(self) -> None:
         """Abort the connection without writing pending responses."""
+        self.closing = True
         self._transport.abort()
 
     async def _respond(self, pending: _PendingRequest, request: Request) -> None:
@@ -305,11 +320,34 @@
         self._flush()
 
     def _close(self) -> None:
+        """Close the connection once the client has received its responses.
+
+        Sends an end of stream, then reads and discards input until the client closes.
+        Closing a socket with unread input resets the connection, and the reset would
+        discard the part of a response that the client has not received.
+        """
         self.closing = True
-        self._transport.close()
+        self._discarding = True
+        if not self._transport.is_closing():
+            self._transport.write_eof()
+            self._update_reading()
+            self._linger()
+
+    def _linger(self) -> None:
+        self._linger_timer = self._server.loop.call_later(
+            LINGER_TIMEOUT_S, self._finish_lingering
+        )
+
+    def _finish_lingering(self) -> None:
+        if count_unacknowledged_bytes(self._transport):
+            self._linger()
+        else:
+            self._transport.close()
 
     def _update_reading(self) -> None:
-        pause = self._writing_paused or len(self._pending) >= MAX_PIPELINED_REQUESTS
+        pause = not self.closing and (
+            self._writing_paused or len(self._pending) >= MAX_PIPELINED_REQUESTS
+        )
         if pause is self._reading_paused or self._transport.is_closing():
             return
         self._reading_paused = pause
--- a/tests/relay/test_server.py
+++ b/tests/relay/test_server.py
@@ -53,7 +53,7 @@
         if b"slow" in request.target:
             await asyncio.sleep(SLOW_S)
         size = BIG_BODY_BYTES if b"big" in request.target else 0
-        return Response(200, [], request.target + b"." * size)
+        return Response(200, [], request.target + b"#" * size)
 
     async def send(self, data: bytes) -> None:
         await self.loop.sock_sendall(self.client, data)
@@ -142,3 +142,44 @@
         time.sleep(0.3)
         self.server.close_idle(self.loop.time())  # before the loop reads the request
         self.assertIn(b"/second", await self.read_until(b"/second"))
+
+
+class ClosingAfterResponse(ServerCase):
+    """Input after the last request does not destroy the response in flight."""
+
+    receive_buffer_bytes = 4096
+
+    async def check_response_is_complete(self) -> None:
+        await asyncio.sleep(0.5)
+        received = await self.read_to_end()
+        self.assertEqual(BIG_BODY_BYTES, received.count(b"#"))
+
+    async def test_request_sent_behind_last_response(self) -> None:
+        self.server.stop()
+        await self.send(encode_get(b"/big"))
+        await asyncio.sleep(0.1)
+        await self.send(encode_get(b"/next"))
+        await self.check_response_is_complete()
+        self.assertEqual([b"/big"], self.seen)
+
+    async def test_oversized_body_behind_request(self) -> None:
+        head = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 200000\r\n\r\n"
+        await self.send(encode_get(b"/big") + head)
+        await self.send(b"a" * 100_000)
+        await asyncio.sleep(0.1)
+        await self.send(b"a" * 100_000)
+        await self.check_response_is_complete()
+
+    async def test_client_that_keeps_connection_is_closed(self) -> None:
+        await self.send(encode_get(b"/x", CLOSE_HEADER))
+        self.assertIn(b"/x", await self.read_to_end())
+        async with asyncio.timeout(3.0):
+            while self.server.connections:
+                await asyncio.sleep(0.05)
+
+    async def test_close_of_idle_connection_with_unread_response(self) -> None:
+        await self.send(encode_get(b"/big"))
+        await asyncio.sleep(0.1)
+        self.server.close_when_idle()
+        await self.send(encode_get(b"/next"))
+        await self.check_response_is_complete()
