Ignore bytes behind a request that closes its connection

A caller that sent more bytes behind a request with `Connection: close` got a second response, a 400 that answers no request, and its own response did not say that the connection closes: the parser reports such bytes as an error, and the error was answered.

Before the fix the client got two responses (ClosingAfterResponse .test_bytes_behind_last_request_get_no_response: 1 != 2).

Input behind such a request is now discarded, as RFC 9112, section 9.6, asks.

--- a/packages/lavenderway-relay/lavenderway_relay/server.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server.py
@@ -164,7 +164,8 @@
         except httptools.HttpParserUpgrade:
             self._refuse(HTTPStatus.BAD_REQUEST)
         except httptools.HttpParserError:
-            self._refuse(self._refusal_status or HTTPStatus.BAD_REQUEST)
+            if not self._discarding:
+                self._refuse(self._refusal_status or HTTPStatus.BAD_REQUEST)
         else:
             # Behind a complete request, the length of the begun head is not known.
             if self.message_since is not None and not self._message_completed:
@@ -222,6 +223,7 @@
         self._message_completed = True
         if not self._parser.should_keep_alive():
             self._keep_alive = False
+            self._discarding = True
         body = b"".join(self._body)
         method = self._parser.get_method()
         request = Request(method, self._target, self._headers, body)
--- a/tests/relay/test_server.py
+++ b/tests/relay/test_server.py
@@ -183,3 +183,10 @@
         self.server.close_when_idle()
         await self.send(encode_get(b"/next"))
         await self.check_response_is_complete()
+
+    async def test_bytes_behind_last_request_get_no_response(self) -> None:
+        await self.send(encode_get(b"/x", CLOSE_HEADER) + encode_get(b"/y"))
+        received = await self.read_to_end()
+        self.assertEqual(1, received.count(b"HTTP/1.1"))
+        self.assertIn(CLOSE_HEADER, received)
+        self.assertEqual([b"/x"], self.seen)
