Send 100 Continue after the responses to earlier requests

A caller that pipelines and waits for `100 Continue` before it sends a body waited for ever: none was sent while an earlier request was in progress, and none later. Such a connection also counts as busy, so that nothing closed it.

Before the fix, the request behind /slow gets neither 100 nor a response (ExpectContinue.test_request_behind_pending_request: TimeoutError).

The interim response is now sent once the earlier responses are written. RefusedInput covers malformed and oversized requests behind good ones, which were answered in order before as well.

--- a/packages/lavenderway-relay/lavenderway_relay/server.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server.py
@@ -207,8 +207,7 @@
         size = self._head_bytes + len(self._target)
         if size > self._server.limits().head_bytes:
             self._stop_parsing(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-        if self._expects_continue and not self._pending:
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._send_continue()
 
     def on_body(self, body: bytes) -> None:
         """Append a fragment of the body, up to the size limit."""
@@ -286,6 +285,15 @@
             await asyncio.sleep(READ_DELAY_S)
         pending.response = await self._server.serve(request)
         self._flush()
+        self._send_continue()
+
+    def _send_continue(self) -> None:
+        """Send `100 Continue` if the client waits for it and no response is due."""
+        if not self._expects_continue or self._pending or self.closing:
+            return
+        if self._in_message and not self.reading_head:
+            self._expects_continue = False
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _flush(self) -> None:
         pieces = []
--- a/tests/relay/test_server.py
+++ b/tests/relay/test_server.py
@@ -190,3 +190,47 @@
         self.assertEqual(1, received.count(b"HTTP/1.1"))
         self.assertIn(CLOSE_HEADER, received)
         self.assertEqual([b"/x"], self.seen)
+
+
+class RefusedInput(ServerCase):
+    """Requests before refused input are answered, in order."""
+
+    async def test_malformed_request_behind_requests(self) -> None:
+        await self.send(encode_get(b"/slow") + encode_get(b"/quick") + b"\x00\r\n\r\n")
+        received = await self.read_to_end()
+        self.assertEqual(2, received.count(b"HTTP/1.1 200 "))
+        self.assertEqual(1, received.count(b"HTTP/1.1 400 "))
+        self.assertLess(received.index(b"/quick"), received.index(b"HTTP/1.1 400 "))
+
+    async def test_oversized_head_behind_requests(self) -> None:
+        oversized = encode_get(b"/x", b"x: " + b"a" * 600 + b"\r\n")
+        await self.send(encode_get(b"/slow") + encode_get(b"/quick") + oversized)
+        received = await self.read_to_end()
+        self.assertEqual(2, received.count(b"HTTP/1.1 200 "))
+        self.assertEqual(1, received.count(b"HTTP/1.1 431 "))
+
+
+class ExpectContinue(ServerCase):
+    """A client that waits for `100 Continue` gets it once it can be sent in order."""
+
+    head = (
+        b"POST /body HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\n"
+        b"content-length: 3\r\n\r\n"
+    )
+
+    async def exchange(self, data: bytes) -> bytes:
+        await self.send(data)
+        received = await self.read_until(b"100 Continue\r\n\r\n")
+        await self.send(b"abc")
+        return received + await self.read_until(b"/body")
+
+    async def test_request_alone(self) -> None:
+        received = await self.exchange(self.head)
+        self.assertEqual(1, received.count(b"100 Continue"))
+        self.assertIn(b"/body", received)
+
+    async def test_request_behind_pending_request(self) -> None:
+        received = await self.exchange(encode_get(b"/slow") + self.head)
+        self.assertEqual(1, received.count(b"100 Continue"))
+        self.assertLess(received.index(b"/slow"), received.index(b"100 Continue"))
+        self.assertIn(b"/body", received)
