Let callers pause for seconds while they read a response

A caller that stopped reading for more than 1.5 s, because it was slow, busy or suspended, lost a response that was ready: TCP_USER_TIMEOUT also ends a connection whose receive window stays closed although the client acknowledges every probe. The timeout finds dead peers while a response of theirs is awaited; no one waits on a connection of a caller but the caller itself, so there it only bounds how long the memory of a response is held.

Before the fix, a client that pauses for 3 s in a response of 3 MB is reset (SlowReaders.test_client_that_pauses_for_seconds_gets_whole_response: ConnectionResetError).

Callers now have 15 s, longer than they wait for a response. Connections of peers keep 1.5 s.

--- a/packages/lavenderway-relay/lavenderway_relay/_sockets.py
+++ b/packages/lavenderway-relay/lavenderway_relay/_sockets.py
@@ -41,13 +41,14 @@
 
 def set_unacknowledged_timeout(
     transport: asyncio.BaseTransport,
-    timeout_ms: int = UNACKNOWLEDGED_TIMEOUT_MS,
+    timeout_ms: int,
 ) -> None:
-    """Make the kernel close a connection whose peer acknowledges no sent data.
+    """Make the kernel close a connection whose peer takes no sent data.
 
     Args:
         transport: Transport of the connection.
-        timeout_ms: Time without an acknowledgement, in milliseconds.
+        timeout_ms: Time without an acknowledgement, or with a receive window that
+            stays closed, in milliseconds.
 
     """
     sock = transport.get_extra_info("socket")
--- a/packages/lavenderway-relay/lavenderway_relay/node.py
+++ b/packages/lavenderway-relay/lavenderway_relay/node.py
@@ -38,6 +38,7 @@
     head_timeout_s=10.0,
     idle_timeout_s=60.0,  # longer than a peer's pool keeps an idle connection
 )
+PEER_UNACKNOWLEDGED_TIMEOUT_MS = 1_500  # peers read responses as they arrive
 DEPARTURE_WRITE_TIMEOUT_S = 0.6  # announcements must get a response within a second
 MIN_DRAIN_S = 2.4  # callers leave after two failed readiness checks of a second each
 EXIT_MARGIN_S = 0.6  # part of the grace period kept for writing the last responses
@@ -149,6 +150,7 @@
             serve=peer_handler.serve,
             refuse=refuse_malformed_input,
             limits=lambda: PEER_LIMITS,
+            unacknowledged_timeout_ms=PEER_UNACKNOWLEDGED_TIMEOUT_MS,
         )
         self._add_gauges()
 
--- a/packages/lavenderway-relay/lavenderway_relay/server.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server.py
@@ -31,6 +31,7 @@
 
 MAX_PIPELINED_REQUESTS = 64  # per connection; reading pauses at this number
 READ_DELAY_S = 0.001  # any positive delay lets the loop read the socket
+UNACKNOWLEDGED_TIMEOUT_MS = 15_000  # longer than callers wait for a response
 LINGER_TIMEOUT_S = 1.0  # for the client to close after its last response
 HEADER_OVERHEAD_BYTES = 4  # colon, space, CR and LF
 
@@ -122,7 +123,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the server."""
         self._transport = cast("asyncio.Transport", transport)
-        set_unacknowledged_timeout(transport)
+        set_unacknowledged_timeout(transport, self._server.unacknowledged_timeout_ms)
         self._server.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -378,6 +379,8 @@
         refuse: Returns the response to input that is malformed or exceeds a limit,
             given the status code to use.
         limits: Returns the present size limits and timeouts.
+        unacknowledged_timeout_ms: Time after which a client that takes no more of its
+            responses is treated as lost, in milliseconds.
 
     Attributes:
         connections: The open connections.
@@ -397,11 +400,13 @@
         serve: Callable[[Request], Coroutine[Any, Any, Response]],
         refuse: Callable[[int], Response],
         limits: Callable[[], Limits] = Limits,
+        unacknowledged_timeout_ms: int = UNACKNOWLEDGED_TIMEOUT_MS,
     ) -> None:
         self.loop = loop
         self.serve = serve
         self.refuse = refuse
         self.limits = limits
+        self.unacknowledged_timeout_ms = unacknowledged_timeout_ms
         self.connections: set[ServerConnection] = set()
         self.stopping = False
         self.lagging = False
--- a/tests/relay/test_server.py
+++ b/tests/relay/test_server.py
@@ -234,3 +234,15 @@
         self.assertEqual(1, received.count(b"100 Continue"))
         self.assertLess(received.index(b"/slow"), received.index(b"100 Continue"))
         self.assertIn(b"/body", received)
+
+
+class SlowReaders(ServerCase):
+    """A response that the client reads slowly is not cut off."""
+
+    receive_buffer_bytes = 4096
+
+    async def test_client_that_pauses_for_seconds_gets_whole_response(self) -> None:
+        await self.send(encode_get(b"/big", CLOSE_HEADER))
+        await asyncio.sleep(3.0)
+        received = await self.read_to_end()
+        self.assertEqual(BIG_BODY_BYTES, received.count(b"#"))
