Spare connections that are idle within the limit their callers know

Callers reuse connections that have been idle for most of the idle timeout. Two kinds of connections were closed under them, so that their next request met a closed connection: those idle within the limit that was in force until a configuration lowered it, and those whose response took long to read, as the timeout ran from the moment at which the response was handed to the transport.

Before the fix, the second request of IdleConnections .test_lowered_timeout_spares_connections_within_older_one and .test_connection_is_not_idle_while_response_is_being_written gets an end of stream in place of a response.

A lowered timeout now takes effect once the older one has passed, and the timeout runs from the moment at which the client has acknowledged its response.

--- a/packages/lavenderway-relay/lavenderway_relay/server.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server.py
@@ -120,6 +120,11 @@
         """Whether a request head has been received in part."""
         return self.message_since is not None
 
+    @property
+    def has_unread_response(self) -> bool:
+        """Whether the client has not received all written responses yet."""
+        return bool(count_unacknowledged_bytes(self._transport))
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the server."""
         self._transport = cast("asyncio.Transport", transport)
@@ -238,7 +243,7 @@
         self._keep_alive = False
         if self.busy or self.closing:
             return
-        if count_unacknowledged_bytes(self._transport):
+        if self.has_unread_response:
             self._close()
         else:
             self.closing = True
@@ -269,7 +274,7 @@
 
     def refuse_late_head(self) -> None:
         """Close the connection after the responses to earlier requests."""
-        if self._pending or count_unacknowledged_bytes(self._transport):
+        if self._pending or self.has_unread_response:
             self._refuse(HTTPStatus.REQUEST_TIMEOUT)
         else:
             self.abort()
@@ -350,7 +355,7 @@
         )
 
     def _finish_lingering(self) -> None:
-        if count_unacknowledged_bytes(self._transport):
+        if self.has_unread_response:
             self._linger()
         else:
             self._transport.close()
@@ -411,6 +416,8 @@
         self.stopping = False
         self.lagging = False
         self.next_tick_deadline = math.inf
+        self._idle_timeout_s = 0.0
+        self._idle_timeout_confirmed_at = 0.0
         self._server: asyncio.Server | None = None
 
     async def listen(self, address: Address) -> None:
@@ -427,27 +434,41 @@
         Input that has arrived is read first, as the event loop may not have run for
         some time, for example because the process was suspended.
         """
-        limits = self.limits()
-        overdue = [
-            connection
-            for connection in self.connections
-            if connection.is_head_late(now, limits.head_timeout_s)
-            or connection.is_idle(now, limits.idle_timeout_s)
-        ]
+        head_timeout_s = self.limits().head_timeout_s
+        idle_timeout_s = self._update_idle_timeout(now)
+        overdue = []
+        for connection in self.connections:
+            if connection.is_head_late(now, head_timeout_s):
+                overdue.append(connection)
+            elif connection.is_idle(now, idle_timeout_s):
+                if connection.has_unread_response:
+                    connection.idle_since = now
+                else:
+                    overdue.append(connection)
         if overdue:
-            self.loop.call_later(
-                READ_DELAY_S, self._close_overdue, overdue, now, limits
-            )
+            self.loop.call_later(READ_DELAY_S, self._close_overdue, overdue, now)
 
-    def _close_overdue(
-        self, connections: list[ServerConnection], now: float, limits: Limits
-    ) -> None:
+    def _close_overdue(self, connections: list[ServerConnection], now: float) -> None:
+        head_timeout_s = self.limits().head_timeout_s
         for connection in connections:
-            if connection.is_head_late(now, limits.head_timeout_s):
+            if connection.is_head_late(now, head_timeout_s):
                 connection.refuse_late_head()
-            elif connection.is_idle(now, limits.idle_timeout_s):
+            elif connection.is_idle(now, self._idle_timeout_s):
                 connection.close_when_idle()
 
+    def _update_idle_timeout(self, now: float) -> float:
+        """Return the idle timeout in force.
+
+        A lowered limit takes effect after the time of the older one, by which the
+        clients that know only that have used or left their idle connections.
+        """
+        limit_s = self.limits().idle_timeout_s
+        unchanged_s = now - self._idle_timeout_confirmed_at
+        if limit_s >= self._idle_timeout_s or unchanged_s > self._idle_timeout_s:
+            self._idle_timeout_s = limit_s
+            self._idle_timeout_confirmed_at = now
+        return self._idle_timeout_s
+
     def may_be_lagging(self) -> bool:
         """Return whether requests may be read long after they arrived."""
         return self.lagging or self.loop.time() > self.next_tick_deadline
--- a/tests/relay/test_server.py
+++ b/tests/relay/test_server.py
@@ -246,3 +246,35 @@
         await asyncio.sleep(3.0)
         received = await self.read_to_end()
         self.assertEqual(BIG_BODY_BYTES, received.count(b"#"))
+
+
+class IdleConnections(ServerCase):
+    """A connection is idle only while the client has its whole response."""
+
+    receive_buffer_bytes = 4096
+
+    async def test_lowered_timeout_spares_connections_within_older_one(self) -> None:
+        self.limits = Limits(idle_timeout_s=1.0)
+        await self.send(encode_get(b"/first"))
+        await self.read_until(b"/first")
+        await self.tick_for(0.1)
+        self.limits = LIMITS
+        await self.tick_for(0.4)
+        await self.send(encode_get(b"/second"))
+        self.assertIn(b"/second", await self.read_until(b"/second"))
+
+    async def test_lowered_timeout_applies_later(self) -> None:
+        self.limits = Limits(idle_timeout_s=0.4)
+        await self.tick_for(0.1)
+        self.limits = LIMITS
+        await self.tick_for(0.6)
+        self.assertEqual(b"", await self.read_to_end())
+
+    async def test_connection_is_not_idle_while_response_is_being_written(self) -> None:
+        self.limits = Limits(idle_timeout_s=0.3)
+        await self.send(encode_get(b"/big"))
+        await self.tick_for(0.5)
+        received = await self.read_until(b"#" * BIG_BODY_BYTES, timeout_s=5.0)
+        self.assertTrue(received.endswith(b"#"))
+        await self.send(encode_get(b"/second"))
+        self.assertIn(b"/second", await self.read_until(b"/second"))
