--- a/tests/end_to_end/test_relay_fleet.py
+++ b/tests/end_to_end/test_relay_fleet.py
@@ -323,6 +323,18 @@
         events = [line["event"] for line in host.read_log()]
         self.assertIn("settings.unusable", events)
 
+    async def test_signal_during_start(self) -> None:
+        host = self.fleet.hosts["slow"]
+        host.signal(signal.SIGKILL)
+        await host.wait()
+        host.log_path.write_bytes(b"")
+        await host.start_node("-X", "importtime")  # logs each module that is loaded
+        async with asyncio.timeout(5.0):
+            while b" asyncio\n" not in host.log_path.read_bytes():
+                await asyncio.sleep(0.002)
+        host.signal(signal.SIGHUP)
+        await self.fleet.wait_until_ready(host)
+
 
 class Recovery(RelayFleetCase):
     """The fleet recovers without an operator after all nodes are killed."""
