Keep closing connections of lavenderwayd open until callers have read

The other data path had the same fault as the relay: while a node drains, a request that a caller sends behind the response that closes its connection reset the connection, and the rest of the response was lost. aiohttp closes the socket as soon as the response has been handed to the kernel.

The connection is now half-closed after its last response, and input is discarded until the caller closes, for 5 s at most.

--- a/packages/lavenderway-node/lavenderway_node/callers.py
+++ b/packages/lavenderway-node/lavenderway_node/callers.py
@@ -27,6 +27,7 @@
 
 KEEP_ALIVE_TIMEOUT_S = 75.0
 BODY_READ_TIMEOUT_S = 30.0
+LINGER_TIMEOUT_S = 5.0  # for the caller to read the last response and close
 
 
 class _Connection(web.RequestHandler):
@@ -48,6 +49,24 @@
         response.force_close()
         return response
 
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Write the rest of a response; keep a closing connection open for a while.
+
+        Input that arrives after a socket is closed resets the connection, and the
+        reset would discard the part of the response that the caller has not received.
+        """
+        result = await super().finish_response(request, resp, start_time)
+        if not resp.keep_alive and self.transport is not None:
+            self.close()  # discards further input
+            self.transport.write_eof()
+            await asyncio.sleep(LINGER_TIMEOUT_S)  # cancelled when the caller closes
+        return result
+
 
 class _Server(web.Server):
     """Protocol factory that creates `_Connection` objects."""
--- a/tests/end_to_end/test_failures.py
+++ b/tests/end_to_end/test_failures.py
@@ -4,13 +4,14 @@
 
 import json
 import signal
+import socket
 import threading
 import time
 from collections import Counter
 
 from lavenderway_dev.fleet import HostPlan, HttpResponse, UpstreamPlan, send_request
 
-from tests.end_to_end.support import FleetTestCase
+from tests.end_to_end.support import FleetTestCase, read_until_closed
 
 KEY_WITHDRAWAL_TIMEOUT_S = 5.0
 UPSTREAM_EXIT_TIMEOUT_S = 5.0
@@ -334,3 +335,32 @@
         self.fleet.set_upstream_behavior("h-1", "archive-1", service_ms=2)
         self.assertEqual([200] * 8, [each.status for each in results])
         self.assertEqual({200000}, {len(each.body) for each in results})
+
+    def test_request_behind_last_response_does_not_cut_it_off(self) -> None:
+        for number in range(4):
+            self.fleet.set_upstream_behavior(
+                f"h-{number}", f"archive-{number}", service_ms=600
+            )
+        with socket.socket() as connection:
+            connection.settimeout(10)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            port = self.fleet.hosts["h-3"].ports.callers
+            connection.connect(("127.0.0.1", port))
+            request = (
+                "GET /archive/bytes/2000000 HTTP/1.1\r\nHost: a\r\n"
+                f"Authorization: Bearer {self.secret}\r\n\r\n"
+            )
+            connection.sendall(request.encode())
+            time.sleep(0.2)
+            self.fleet.signal_node("h-3", signal.SIGTERM)
+            time.sleep(0.9)  # the node has written the response, which is not read yet
+            connection.sendall(request.encode())
+            response = read_until_closed(connection)
+        self.assertEqual(0, self.fleet.wait_for_exit("h-3"))
+        self.fleet.start_node("h-3")
+        self.fleet.wait_until_serving(SERVICES)
+        for number in range(4):
+            self.fleet.set_upstream_behavior(
+                f"h-{number}", f"archive-{number}", service_ms=2
+            )
+        self.assertEqual(2_000_000, len(response.partition(b"\r\n\r\n")[2]))
