--- a/packages/lavenderway-relay/lavenderway_relay/node.py
+++ b/packages/lavenderway-relay/lavenderway_relay/node.py
@@ -38,6 +38,7 @@
     head_timeout_s=10.0,
     idle_timeout_s=60.0,  # longer than a peer's pool keeps an idle connection
 )
+PEER_UNACKNOWLEDGED_TIMEOUT_MS = 1_500  # peers read responses as they arrive
 DEPARTURE_WRITE_TIMEOUT_S = 0.6  # announcements must get a response within a second
 LEAVE_TIME_S = 2.4  # callers leave after two failed readiness checks of a second each
 MAX_LEAVE_SHARE = 0.5  # of the grace period; the rest is for completing what was taken
@@ -152,6 +153,7 @@
             serve=peer_handler.serve,
             refuse=refuse_malformed_input,
             limits=lambda: PEER_LIMITS,
+            unacknowledged_timeout_ms=PEER_UNACKNOWLEDGED_TIMEOUT_MS,
         )
         self._servers = [self._caller_server, self._peer_server]
         self._add_gauges()
