Let the stand-in store return from an older copy

The platform's store may come back from a copy some seconds old. The stand-in could not, so no test could show what a node does then.

MetadataStore.save_copy() and MetadataStore.restore(copy) bring back the rows, the version counter and the history; versions are given out again, a feed from a version beyond the newest gets 410, and waiting feed calls get 503. The header Store-Era, in all responses, counts the restores.

--- a/packages/lavenderway-dev/lavenderway_dev/store_standin.py
+++ b/packages/lavenderway-dev/lavenderway_dev/store_standin.py
@@ -9,7 +9,7 @@
 from collections import deque
 from dataclasses import dataclass
 from functools import cache
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 from urllib.parse import parse_qsl, urlsplit
 
 import orjson
@@ -41,17 +41,36 @@
     responses_to_lose: int = 0
 
 
+class StoreCopy(NamedTuple):
+    """Copy of a store's contents at one moment.
+
+    Attributes:
+        version: Version of the last write.
+        rows: Version and value of each row, by table and key.
+        history: Version, table and key of each write that feeds can still return.
+        compacted_version: Version before which the history is discarded.
+
+    """
+
+    version: int
+    rows: dict[tuple[str, str], tuple[int, bytes]]
+    history: list[tuple[int, str, str]]
+    compacted_version: int
+
+
 class MetadataStore:
     """Tables of rows with one version counter and a change feed.
 
     Attributes:
         version: Version of the last write.
+        era: Number of times that the store was restored from a copy.
         calls: Number of calls received.
 
     """
 
     def __init__(self) -> None:
         self.version = 0
+        self.era = 0
         self.calls = 0
         self._rows: dict[tuple[str, str], tuple[int, bytes]] = {}
         self._history: list[tuple[int, str, str]] = []
@@ -89,7 +108,35 @@
         self._history.clear()
         self._compacted_version = self.version
 
+    def save_copy(self) -> StoreCopy:
+        """Return a copy of the present contents."""
+        return StoreCopy(
+            self.version,
+            self._rows.copy(),
+            self._history.copy(),
+            self._compacted_version,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Replace the contents by those of an earlier copy, and begin a new era.
+
+        All later writes are lost, and their versions are given out again. Feed calls
+        that are waiting get status 503.
+        """
+        self.era += 1
+        self.version = copy.version
+        self._rows = copy.rows.copy()
+        self._history = copy.history.copy()
+        self._compacted_version = copy.compacted_version
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     async def _serve(self, request: Request, faults: StoreFaults) -> Response:
+        response = await self._serve_call(request, faults)
+        era = (b"store-era", b"%d" % self.era)
+        return response._replace(headers=[*response.headers, era])
+
+    async def _serve_call(self, request: Request, faults: StoreFaults) -> Response:
         self.calls += 1
         if faults.silent:
             await asyncio.sleep(3600)
@@ -118,8 +165,11 @@
     async def _wait_for_changes(self, query: dict[str, str]) -> Response:
         table, after = query["table"], int(query["after"])
         deadline = asyncio.get_running_loop().time() + int(query["wait-ms"]) / 1000
+        era = self.era
         while True:
-            if after < self._compacted_version:
+            if era != self.era:
+                return Response(503, [], b"")
+            if not self._compacted_version <= after <= self.version:
                 return Response(410, [], b"{}")
             keys = {k for v, t, k in self._history if v > after and t == table}
             left_s = deadline - asyncio.get_running_loop().time()
