Order revisions by the store's era, then by version

Cause: records of hosts and the registries of two nodes were compared by the store's version alone. After the store has returned from an older copy it gives out versions again, so a newer record with a lower version was ignored.

Change: Revision is a pair of era and version, used in the registry, in host records, in hop headers and in queries between nodes. A stored row names the era that its writer knew, so a row of the copy counts as older than the rows that the store has lost. The store's client reads the era from the header Store-Era (absent: 0), and a table read over pages of two eras is refused. In era 0 nothing changes on the wire. A revision that cannot be decoded makes the message malformed, as any other field does.

--- a/packages/lavenderway-relay/lavenderway_relay/caller_handler.py
+++ b/packages/lavenderway-relay/lavenderway_relay/caller_handler.py
@@ -27,6 +27,7 @@
 from lavenderway_relay.refusals import Refusal, refuse
 from lavenderway_relay.request_context import RequestContext
 from lavenderway_relay.retry_budget import RetryBudget
+from lavenderway_relay.revision import NO_REVISION
 from lavenderway_relay.upstream_runner import UpstreamResult
 
 if TYPE_CHECKING:
@@ -59,7 +60,7 @@
 # Recorded for an attempt that timed out: it may have run. The fields after the first
 # two are placeholders; the last, `reported`, is False so that they are ignored.
 TIMED_OUT_HOP_RESPONSE = HopResponse(
-    Outcome.UNKNOWN, True, 0.0, 0.0, False, {}, {}, 0, 0, False
+    Outcome.UNKNOWN, True, 0.0, 0.0, False, {}, {}, 0, NO_REVISION, False
 )
 _REMOVED_RESPONSE_HEADERS = NOT_FORWARDED_HEADERS | {HOP_HEADER}
 
--- a/packages/lavenderway-relay/lavenderway_relay/hops.py
+++ b/packages/lavenderway-relay/lavenderway_relay/hops.py
@@ -12,6 +12,8 @@
 import orjson
 from lavenderway_core.ids import HostId, ServiceId, WorkspaceId
 
+from lavenderway_relay.revision import Revision, decode_revision, encode_revision
+
 HOP_HEADER = b"lavenderway-hop"
 
 
@@ -50,7 +52,7 @@
     target_s: float
     deadline_s: float
     config: int
-    revision: int
+    revision: Revision
 
 
 class Outcome(Enum):
@@ -111,7 +113,7 @@
     levels: dict[ServiceId, float]
     calls: dict[ServiceId, float]
     config: int
-    revision: int
+    revision: Revision
     reported: bool = True
 
 
@@ -129,7 +131,7 @@
         int(hop_request.target_s * 1e3),
         int(hop_request.deadline_s * 1e3),
         hop_request.config,
-        hop_request.revision,
+        encode_revision(hop_request.revision),
     )
     return orjson.dumps(fields)
 
@@ -166,7 +168,7 @@
             target_ms / 1e3,
             deadline_ms / 1e3,
             int(config),
-            int(revision),
+            decode_revision(revision),
         )
     except (TypeError, ValueError) as error:
         raise HopFormatError(f"cannot decode hop header {value!r}: {error}") from error
@@ -181,7 +183,7 @@
         round(hop_response.load, 2),
         round(hop_response.mean_s * 1e3, 1),
         hop_response.config,
-        hop_response.revision,
+        encode_revision(hop_response.revision),
         {name: round(level, 2) for name, level in hop_response.levels.items()},
         hop_response.calls,
     )
@@ -208,7 +210,7 @@
             _floats_by_service(levels),
             _floats_by_service(calls),
             int(config),
-            int(revision),
+            decode_revision(revision),
         )
     except (TypeError, ValueError, KeyError) as error:
         raise HopFormatError(
--- a/packages/lavenderway-relay/lavenderway_relay/host_registry.py
+++ b/packages/lavenderway-relay/lavenderway_relay/host_registry.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from lavenderway_relay.model import UpstreamStatus
+from lavenderway_relay.revision import NO_REVISION
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -12,12 +13,14 @@
     from lavenderway_core.ids import HostId, ServiceId
 
     from lavenderway_relay.model import HostRecord
+    from lavenderway_relay.revision import Revision
 
 
 class HostRegistry:
     """Records of all hosts, each at the newest revision received.
 
-    Records may arrive in any order, from the store and from peers.
+    Records may arrive in any order, from the store and from peers. A record that the
+    store has lost by returning from an older copy is kept until its host writes again.
 
     Attributes:
         revision: Store revision up to which all changes have been merged.
@@ -25,7 +28,7 @@
     """
 
     def __init__(self) -> None:
-        self.revision = 0
+        self.revision = NO_REVISION
         self._hosts: dict[HostId, HostRecord] = {}
         self._by_service: dict[ServiceId, list[HostRecord]] = {}
 
@@ -41,7 +44,7 @@
             self._rebuild_index()
         return changed
 
-    def advance_revision(self, revision: int) -> None:
+    def advance_revision(self, revision: Revision) -> None:
         """Record that all changes up to a store revision have been merged."""
         self.revision = max(self.revision, revision)
 
@@ -57,7 +60,7 @@
         """Return the hosts other than `own` whose nodes are serving."""
         return [r for r in self._hosts.values() if r.serving and r.host != own]
 
-    def changed_since(self, revision: int) -> list[HostRecord]:
+    def changed_since(self, revision: Revision) -> list[HostRecord]:
         """Return the records that changed after a store revision."""
         return [r for r in self._hosts.values() if r.revision > revision]
 
--- a/packages/lavenderway-relay/lavenderway_relay/model.py
+++ b/packages/lavenderway-relay/lavenderway_relay/model.py
@@ -10,6 +10,8 @@
     ServiceId,
 )
 
+from lavenderway_relay.revision import NO_REVISION, Revision
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -174,7 +176,9 @@
         serving: False once the host's node has been told to stop.
         upstream: The upstream on the host; None if none has been announced.
         started_ms: Wall-clock start of the node process, in milliseconds.
-        revision: Revision of the stored row; 0 if the record is not stored yet.
+        revision: Version of the stored row, and the store's era when the record was
+            built. A row of an older copy thus has an older revision than the rows
+            that the store lost, which are still known to other nodes.
 
     """
 
@@ -184,7 +188,7 @@
     serving: bool
     upstream: Upstream | None
     started_ms: int = 0
-    revision: int = 0
+    revision: Revision = NO_REVISION
 
     @property
     def retired(self) -> bool:
--- a/packages/lavenderway-relay/lavenderway_relay/node.py
+++ b/packages/lavenderway-relay/lavenderway_relay/node.py
@@ -350,7 +350,7 @@
         metrics.gauge("admission_level", lambda: self._upstream_runner.level)
         metrics.gauge("config_version", lambda: float(self.state.config_version))
         metrics.gauge(
-            "roster_revision", lambda: float(self.state.host_registry.revision)
+            "roster_revision", lambda: float(self.state.host_registry.revision.version)
         )
         metrics.gauge("lag_seconds", lambda: self.state.lag_s)
         metrics.gauge("ready", lambda: float(self.ready))
--- a/packages/lavenderway-relay/lavenderway_relay/peer_client.py
+++ b/packages/lavenderway-relay/lavenderway_relay/peer_client.py
@@ -22,6 +22,7 @@
 from lavenderway_relay.messages import Request, encode_request, strip_headers
 from lavenderway_relay.pools import ConnectError, ConnectionBrokenError, ConnectionPool
 from lavenderway_relay.quota import MIN_LOAN_TOKENS
+from lavenderway_relay.revision import NO_REVISION, encode_revision
 from lavenderway_relay.upstream_runner import UpstreamResult
 
 if TYPE_CHECKING:
@@ -32,6 +33,7 @@
     from lavenderway_relay.hops import HopRequest
     from lavenderway_relay.model import HostRecord
     from lavenderway_relay.quota import LoanRequest
+    from lavenderway_relay.revision import Revision
     from lavenderway_relay.state import NodeState
     from lavenderway_relay.upstream_runner import UpstreamRunner
 
@@ -42,7 +44,7 @@
 STATE_TARGET = b"/lavenderway/state"
 
 _NO_HOP_RESPONSE = HopResponse(
-    Outcome.ABSENT, False, 0.0, 0.0, False, {}, {}, 0, 0, False
+    Outcome.ABSENT, False, 0.0, 0.0, False, {}, {}, 0, NO_REVISION, False
 )
 
 
@@ -119,7 +121,7 @@
         return UpstreamResult(hop_response, response if answered else None)
 
     def compare_versions(
-        self, record: HostRecord, config_version: int, registry_revision: int
+        self, record: HostRecord, config_version: int, registry_revision: Revision
     ) -> None:
         """Call `on_newer_state` if the state of a host is newer than this node's.
 
@@ -247,7 +249,7 @@
         """Query an unreachable host, and mark it reachable if it replies."""
         payload = {
             "config": self._state.config_version,
-            "revision": self._state.host_registry.revision,
+            "revision": encode_revision(self._state.host_registry.revision),
         }
         if await self.query(record, STATE_TARGET, payload) is not None:
             self._state.load_balancer.mark_reachable(record.host)
--- a/packages/lavenderway-relay/lavenderway_relay/peer_handler.py
+++ b/packages/lavenderway-relay/lavenderway_relay/peer_handler.py
@@ -19,6 +19,7 @@
 from lavenderway_relay.peer_client import STATE_TARGET, TOKENS_TARGET
 from lavenderway_relay.records import encode_records
 from lavenderway_relay.refusals import Refusal, refuse
+from lavenderway_relay.revision import decode_revision, encode_revision
 
 if TYPE_CHECKING:
     import asyncio
@@ -109,8 +110,10 @@
 
     def _read_state(self, payload: dict[str, Any]) -> dict[str, Any]:
         state = self._state
-        reply: dict[str, Any] = {"revision": state.host_registry.revision}
-        known_revision = int(payload["revision"])
+        reply: dict[str, Any] = {
+            "revision": encode_revision(state.host_registry.revision)
+        }
+        known_revision = decode_revision(payload["revision"])
         reply["hosts"] = encode_records(
             state.host_registry.changed_since(known_revision)
         )
--- a/packages/lavenderway-relay/lavenderway_relay/records.py
+++ b/packages/lavenderway-relay/lavenderway_relay/records.py
@@ -8,6 +8,7 @@
 from lavenderway_core.ids import FailureDomainId, HostId, ServiceId, UpstreamId
 
 from lavenderway_relay.model import Address, HostRecord, Upstream, UpstreamStatus
+from lavenderway_relay.revision import Revision, decode_revision, encode_revision
 
 
 class RecordFormatError(Exception):
@@ -28,16 +29,19 @@
 
 
 def encode_record(record: HostRecord) -> bytes:
-    """Encode a record as JSON, without its revision."""
-    return orjson.dumps(_to_fields(record))
+    """Encode a record as JSON, with the era but without the version of its revision."""
+    fields = _to_fields(record)
+    if record.revision.era:
+        fields["era"] = record.revision.era
+    return orjson.dumps(fields)
 
 
-def decode_record(value: bytes, revision: int) -> HostRecord:
+def decode_record(value: bytes, version: int) -> HostRecord:
     """Decode a record.
 
     Args:
         value: The record as JSON.
-        revision: Revision of the stored row.
+        version: Version of the stored row.
 
     Raises:
         RecordFormatError: A field is missing or has the wrong type or value.
@@ -45,7 +49,7 @@
     """
     try:
         fields = orjson.loads(value)
-        return _from_fields(fields, revision)
+        return _from_fields(fields, decode_revision([fields.get("era", 0), version]))
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise RecordFormatError(
             f"invalid host record {value[:80]!r}: {error!r}"
@@ -74,7 +78,7 @@
     return fields
 
 
-def _from_fields(fields: dict[str, Any], revision: int) -> HostRecord:
+def _from_fields(fields: dict[str, Any], revision: Revision) -> HostRecord:
     upstream = None
     if "upstream" in fields:
         upstream_fields = fields["upstream"]
@@ -114,7 +118,10 @@
 
 def encode_records(records: list[HostRecord]) -> list[dict[str, Any]]:
     """Return records, with their revisions, as JSON-compatible values."""
-    return [{**_to_fields(record), "revision": record.revision} for record in records]
+    return [
+        {**_to_fields(record), "revision": encode_revision(record.revision)}
+        for record in records
+    ]
 
 
 def decode_records(values: list[dict[str, Any]]) -> list[HostRecord]:
@@ -126,6 +133,9 @@
 
     """
     try:
-        return [_from_fields(fields, int(fields["revision"])) for fields in values]
+        return [
+            _from_fields(fields, decode_revision(fields["revision"]))
+            for fields in values
+        ]
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise RecordFormatError(f"invalid host record in message: {error!r}") from error
--- a/packages/lavenderway-relay/lavenderway_relay/store.py
+++ b/packages/lavenderway-relay/lavenderway_relay/store.py
@@ -4,14 +4,16 @@
 
 from typing import NamedTuple, Protocol
 
-ABSENT = 0  # revision of a row that does not exist
+from lavenderway_relay.revision import Revision
+
+ABSENT = 0  # version of a row that does not exist
 
 
 class StoredRow(NamedTuple):
     """A row of a table; the value is None if the row was deleted."""
 
     key: str
-    revision: int
+    version: int
     value: bytes | None
 
 
@@ -20,14 +22,17 @@
 
     Attributes:
         rows: Rows that could be decoded.
-        revision: Revision up to which all changes are included.
+        revision: Revision up to which all changes are included; its era is the present
+            one.
         errors: Error messages for rows that could not be decoded.
+        complete: Whether the rows are those of the whole table.
 
     """
 
     rows: list[StoredRow]
-    revision: int
+    revision: Revision
     errors: list[str]
+    complete: bool
 
 
 class StoreUnavailableError(Exception):
@@ -43,16 +48,18 @@
 
 
 class ConflictError(Exception):
-    """A write expected another revision than the row has.
+    """A write expected another version than the row has.
 
     Args:
         row: The row as stored; None if it does not exist.
+        era: The store's present era.
 
     """
 
-    def __init__(self, row: StoredRow | None) -> None:
-        super().__init__("the row does not have the expected revision")
+    def __init__(self, row: StoredRow | None, era: int) -> None:
+        super().__init__("the row does not have the expected version")
         self.row = row
+        self.era = era
 
 
 class Store(Protocol):
@@ -63,14 +70,21 @@
     """
 
     async def read_table(self, table: str) -> Snapshot:
-        """Return all rows of a table."""
+        """Return all rows of a table.
+
+        Raises:
+            HistoryLostError: The store returned from an older copy meanwhile.
+
+        """
 
     async def follow(self, table: str, after: int, wait_s: float) -> Snapshot:
-        """Return the rows that changed after a revision, by long polling.
+        """Return the rows that changed after a version, by long polling.
+
+        The version must be of the present era, which the snapshot's revision tells.
 
         Args:
             table: Name of the table.
-            after: Revision after which changes are returned.
+            after: Version after which changes are returned.
             wait_s: Longest time to wait for a change, in seconds.
 
         Raises:
@@ -78,19 +92,21 @@
 
         """
 
-    async def write(self, table: str, key: str, value: bytes, expected: int) -> int:
-        """Write a row if it has the expected revision.
+    async def write(
+        self, table: str, key: str, value: bytes, expected: int
+    ) -> Revision:
+        """Write a row if it has the expected version.
 
         Args:
             table: Name of the table.
             key: Key of the row.
             value: New value of the row.
-            expected: Revision that the row must have; `ABSENT` to create it.
+            expected: Version that the row must have; `ABSENT` to create it.
 
         Returns:
-            The new revision of the row.
+            The new version of the row, with the present era.
 
         Raises:
-            ConflictError: The row does not have the expected revision.
+            ConflictError: The row does not have the expected version.
 
         """
--- a/packages/lavenderway-relay/lavenderway_relay/sync.py
+++ b/packages/lavenderway-relay/lavenderway_relay/sync.py
@@ -18,8 +18,13 @@
     decode_records,
     encode_record,
 )
+from lavenderway_relay.revision import (
+    NO_REVISION,
+    Revision,
+    decode_revision,
+    encode_revision,
+)
 from lavenderway_relay.store import (
-    ABSENT,
     ConflictError,
     HistoryLostError,
     OutcomeUnknownError,
@@ -159,7 +164,7 @@
             serving=self._state.serving,
             upstream=self._state.local_upstream.current,
             started_ms=self._state.started_ms,
-            revision=known.revision if known else ABSENT,
+            revision=known.revision if known else NO_REVISION,
         )
 
     async def _follow_table(
@@ -169,14 +174,14 @@
         coalesce_delay_s: float,
     ) -> None:
         backoff_s = MIN_BACKOFF_S
-        revision: int | None = None
+        revision: Revision | None = None
         while True:
             try:
                 if revision is None:
                     snapshot = await self._store.read_table(table)
                 else:
                     snapshot = await self._store.follow(
-                        table, revision, FEED_LONG_POLL_S
+                        table, revision.version, FEED_LONG_POLL_S
                     )
                 for error_text in snapshot.errors:
                     self._state.log.state(
@@ -245,7 +250,7 @@
             if row.value is None:
                 continue
             try:
-                record = decode_record(row.value, row.revision)
+                record = decode_record(row.value, row.version)
                 if record.host != row.key:
                     raise RecordFormatError(
                         f"host: expected the key of the row, got {record.host}"
@@ -261,14 +266,14 @@
             self._hosts_loaded.set()
 
     def _merge_records(
-        self, records: list[HostRecord], revision: int, source: str
+        self, records: list[HostRecord], revision: Revision, source: str
     ) -> None:
         """Merge records into the host registry.
 
         Args:
             records: The records to merge.
-            revision: Store revision up to which all changes are merged afterwards; 0
-                if this is not known.
+            revision: Store revision up to which all changes are merged afterwards;
+                `NO_REVISION` if this is not known.
             source: Origin of the records, for the log.
 
         """
@@ -289,7 +294,7 @@
                 serving=record.serving,
                 upstream=upstream.id if upstream else None,
                 status=upstream.status if upstream else None,
-                revision=record.revision,
+                revision=encode_revision(record.revision),
                 source=source,
             )
         if changed:
@@ -339,10 +344,10 @@
 
     async def _store_own_record(self, record: HostRecord) -> None:
         value = encode_record(record)
-        revision = await self._store.write(
-            HOSTS_TABLE, record.host, value, record.revision
+        written = await self._store.write(
+            HOSTS_TABLE, record.host, value, record.revision.version
         )
-        self._merge_records([decode_record(value, revision)], 0, "own")
+        self._merge_records([decode_record(value, written.version)], NO_REVISION, "own")
         if not self._own_record_changed.is_set():
             self._own_record_stored.set()
 
@@ -356,7 +361,7 @@
         if row is None or row.value is None:
             return
         try:
-            record = decode_record(row.value, row.revision)
+            record = decode_record(row.value, row.version)
         except RecordFormatError:
             record = HostRecord(
                 host=self._state.settings.host,
@@ -364,9 +369,9 @@
                 failure_domain=self._state.settings.failure_domain,
                 serving=False,
                 upstream=None,
-                revision=row.revision,
+                revision=Revision(0, row.version),
             )
-        self._merge_records([record], 0, "conflict")
+        self._merge_records([record], NO_REVISION, "conflict")
 
     def _schedule_pull(self, record: HostRecord) -> None:
         if not self._pull_scheduled:
@@ -399,14 +404,15 @@
         state = self._state
         payload = {
             "config": state.config_version,
-            "revision": state.host_registry.revision,
+            "revision": encode_revision(state.host_registry.revision),
         }
         reply = await self._peer_client.query(record, STATE_TARGET, payload)
         if reply is None:
             return
         try:
             records = decode_records(reply.get("hosts", []))
-            self._merge_records(records, int(reply.get("revision", 0)), record.host)
+            revision = decode_revision(reply.get("revision", 0))
+            self._merge_records(records, revision, record.host)
             document = reply.get("document")
             if isinstance(document, str):
                 self._apply_document(document.encode(), record.host)
--- a/tests/platform_adapter/test_store.py
+++ b/tests/platform_adapter/test_store.py
@@ -9,30 +9,45 @@
 from lavenderway_relay.messages import Request, Response
 from lavenderway_relay.model import Address
 from lavenderway_relay.refusals import refuse_malformed_input
+from lavenderway_relay.revision import Revision
 from lavenderway_relay.server import HttpServer
-from lavenderway_relay.store import OutcomeUnknownError
+from lavenderway_relay.store import (
+    ConflictError,
+    HistoryLostError,
+    OutcomeUnknownError,
+)
 
 VALID_ROW = {"table": "t", "part": "", "key": "good", "ver": 3, "value": "Z29vZA=="}
 
 
-class UndecodableRows(unittest.IsolatedAsyncioTestCase):
-    """A row that cannot be decoded must not hide the other rows of a response.
-
-    Other writers share the store, so a response may hold rows in any format.
-    """
+class ScriptedResponseCase(unittest.IsolatedAsyncioTestCase):
+    """Base class of tests with scripted responses."""
 
-    async def follow_once(self, body: object) -> tuple[list[str], list[str]]:
-        """Return the row keys and the findings of one response with this body."""
+    async def open_store(self, *responses: Response) -> PlatformStore:
+        """Return a client of a store that gives these responses in turn."""
+        remaining = list(responses)
 
         async def serve(_: Request) -> Response:
-            return Response(200, [], orjson.dumps(body))
+            return remaining.pop(0)
 
         loop = asyncio.get_running_loop()
         address = Address("127.0.0.1", allocate_port())
         server = HttpServer(loop=loop, serve=serve, refuse=refuse_malformed_input)
         await server.listen(address)
         self.addCleanup(server.close)
-        snapshot = await PlatformStore(address=address, loop=loop).follow("t", 1, 0.1)
+        return PlatformStore(address=address, loop=loop)
+
+
+class UndecodableRows(ScriptedResponseCase):
+    """A row that cannot be decoded must not hide the other rows of a response.
+
+    Other writers share the store, so a response may hold rows in any format.
+    """
+
+    async def follow_once(self, body: object) -> tuple[list[str], list[str]]:
+        """Return the row keys and the findings of one response with this body."""
+        store = await self.open_store(Response(200, [], orjson.dumps(body)))
+        snapshot = await store.follow("t", 1, 0.1)
         return [row.key for row in snapshot.rows], snapshot.errors
 
     async def test_valid_row_is_returned(self) -> None:
@@ -68,3 +83,52 @@
         for body in bodies:
             with self.subTest(body=body), self.assertRaises(OutcomeUnknownError):
                 await self.follow_once(body)
+
+
+def make_response(
+    era: bytes | None, *, status: int = 200, more: bool = False
+) -> Response:
+    headers = [] if era is None else [(b"store-era", era)]
+    body = {"rows": [VALID_ROW], "ver": 3, "has-more": more}
+    return Response(status, headers, orjson.dumps(body))
+
+
+class StoreEras(ScriptedResponseCase):
+    """Versions are qualified by the era that the response states."""
+
+    async def test_era_of_each_call(self) -> None:
+        for era, number in ((None, 0), (b"0", 0), (b"4", 4)):
+            with self.subTest(era=era):
+                response = make_response(era)
+                store = await self.open_store(response, response, response)
+                expected = Revision(number, 3)
+                self.assertEqual(expected, (await store.read_table("t")).revision)
+                snapshot = await store.follow("t", 1, 0.1)
+                self.assertEqual(expected, snapshot.revision)
+                self.assertEqual(expected, await store.write("t", "good", b"", 1))
+
+    async def test_conflict_tells_the_era(self) -> None:
+        store = await self.open_store(make_response(b"2", status=412))
+        with self.assertRaises(ConflictError) as raised:
+            await store.write("t", "good", b"", 9)
+        row = raised.exception.row
+        assert row is not None
+        self.assertEqual((2, 3), (raised.exception.era, row.version))
+
+    async def test_malformed_era_is_an_unknown_outcome(self) -> None:
+        for era in (b"x", b"-1", b"1.5"):
+            with self.subTest(era=era), self.assertRaises(OutcomeUnknownError):
+                store = await self.open_store(make_response(era))
+                await store.follow("t", 1, 0.1)
+
+    async def test_pages_of_two_eras_are_no_snapshot(self) -> None:
+        pages = make_response(b"1", more=True), make_response(b"2")
+        store = await self.open_store(*pages)
+        with self.assertRaises(HistoryLostError):
+            await store.read_table("t")
+
+    async def test_pages_of_one_era(self) -> None:
+        pages = make_response(b"1", more=True), make_response(b"1")
+        snapshot = await (await self.open_store(*pages)).read_table("t")
+        self.assertTrue(snapshot.complete)
+        self.assertEqual(2, len(snapshot.rows))
--- a/tests/relay/test_caller_handler.py
+++ b/tests/relay/test_caller_handler.py
@@ -33,6 +33,7 @@
 )
 from lavenderway_relay.peer_client import PeerClient
 from lavenderway_relay.quota import LoanRequest, WorkspaceTokens
+from lavenderway_relay.revision import Revision
 from lavenderway_relay.running_requests import RunningRequest
 from lavenderway_relay.state import NodeState
 from lavenderway_relay.upstream_runner import UpstreamResult
@@ -49,7 +50,10 @@
     levels: dict[ServiceId, float] | None = None,
 ) -> HopResponse:
     arrived = outcome in (Outcome.ANSWERED, Outcome.UNKNOWN, Outcome.REJECTED)
-    return HopResponse(outcome, arrived, 0.5, mean_s, False, levels or {}, {}, 1, 1)
+    revision = Revision(0, 1)
+    return HopResponse(
+        outcome, arrived, 0.5, mean_s, False, levels or {}, {}, 1, revision
+    )
 
 
 class ScriptedPeerClient:
--- a/tests/relay/test_hops.py
+++ b/tests/relay/test_hops.py
@@ -17,6 +17,7 @@
     encode_hop_request,
     encode_hop_response,
 )
+from lavenderway_relay.revision import Revision
 
 HOP_REQUEST = HopRequest(
     HostId("h"),
@@ -30,7 +31,7 @@
     -0.5,
     2.5,
     7,
-    9,
+    Revision(0, 9),
 )
 HOP_RESPONSE = HopResponse(
     Outcome.NO_ROOM,
@@ -41,7 +42,7 @@
     {ServiceId("s"): 1.5},
     {ServiceId("s"): 4.0},
     7,
-    9,
+    Revision(2, 9),
 )
 
 WRONG_TYPES: tuple[Any, ...] = ([[]], {"a": "b"})
@@ -58,6 +59,17 @@
             HOP_RESPONSE, decode_hop_response(encode_hop_response(HOP_RESPONSE))
         )
 
+    def test_round_trip_with_era(self) -> None:
+        revision = Revision(3, 9)
+        hop_request = HOP_REQUEST._replace(revision=revision)
+        hop_response = HOP_RESPONSE._replace(revision=revision)
+        self.assertEqual(
+            hop_request, decode_hop_request(encode_hop_request(hop_request))
+        )
+        self.assertEqual(
+            hop_response, decode_hop_response(encode_hop_response(hop_response))
+        )
+
     def test_header_has_no_line_breaks(self) -> None:
         hop_request = HOP_REQUEST._replace(workspace=WorkspaceId("a\r\nb: c"))
         self.assertNotIn(b"\n", encode_hop_request(hop_request))
--- a/tests/relay/test_host_registry.py
+++ b/tests/relay/test_host_registry.py
@@ -18,6 +18,7 @@
     encode_record,
     encode_records,
 )
+from lavenderway_relay.revision import Revision
 
 ARCHIVE = ServiceId("archive")
 
@@ -28,6 +29,7 @@
     domain: str = "east",
     status: UpstreamStatus = UpstreamStatus.READY,
     serving: bool = True,
+    era: int = 0,
     revision: int = 1,
 ) -> HostRecord:
     upstream = Upstream(
@@ -45,7 +47,7 @@
         failure_domain=FailureDomainId(domain),
         serving=serving,
         upstream=upstream,
-        revision=revision,
+        revision=Revision(era, revision),
     )
 
 
@@ -78,11 +80,26 @@
             {"a", "b"}, {record.host for record in host_registry.members()}
         )
 
+    def test_record_of_an_older_era_is_ignored(self) -> None:
+        """A store that returned from an older copy gives out versions again."""
+        host_registry = HostRegistry()
+        restored = make_record("a", era=1, revision=2)
+        host_registry.merge([make_record("a", revision=5)])
+        self.assertEqual([restored], host_registry.merge([restored]))
+        self.assertEqual([], host_registry.merge([make_record("a", revision=9)]))
+
+    def test_revision_of_an_older_era_does_not_advance(self) -> None:
+        host_registry = HostRegistry()
+        host_registry.advance_revision(Revision(0, 9))
+        host_registry.advance_revision(Revision(1, 2))
+        host_registry.advance_revision(Revision(0, 10))
+        self.assertEqual(Revision(1, 2), host_registry.revision)
+
     def test_changed_since_returns_newer_records(self) -> None:
         host_registry = HostRegistry()
         newer = make_record("b", revision=7)
         host_registry.merge([make_record("a", revision=3), newer])
-        self.assertEqual([newer], host_registry.changed_since(3))
+        self.assertEqual([newer], host_registry.changed_since(Revision(0, 3)))
 
 
 class RecordEncoding(unittest.TestCase):
@@ -93,13 +110,24 @@
         self.assertEqual(record, decode_record(encode_record(record), 9))
         self.assertEqual([record], decode_records(encode_records([record])))
 
+    def test_encoding_round_trip_with_era(self) -> None:
+        record = make_record("a", era=2, revision=9)
+        self.assertEqual(record, decode_record(encode_record(record), 9))
+        self.assertEqual([record], decode_records(encode_records([record])))
+
+    def test_malformed_revisions_are_rejected(self) -> None:
+        fields = encode_records([make_record("a")])[0]
+        for revision in (None, "1", -1, True, 1.5, [1], [1, -1], [1, 2, 3], ["1", 2]):
+            with self.subTest(revision=revision), self.assertRaises(RecordFormatError):
+                decode_records([{**fields, "revision": revision}])
+
     def test_malformed_records_are_rejected(self) -> None:
         for value in (b"", b"[]", b"{}", b'{"host":"a","address":"x"}', b"\xff"):
             with self.subTest(value=value), self.assertRaises(RecordFormatError):
                 decode_record(value, 1)
 
     def test_fields_of_wrong_type_are_rejected(self) -> None:
-        fields = orjson.loads(encode_record(make_record("a")))
+        fields = orjson.loads(encode_record(make_record("a", era=1)))
         for key in fields:
             for wrong_value in WRONG_VALUES:
                 value = orjson.dumps({**fields, key: wrong_value})
@@ -269,5 +297,5 @@
         self.assertIn(new, chosen)
 
     def test_record_revision_does_not_affect_choice(self) -> None:
-        newer = replace(self.near, revision=99)
+        newer = replace(self.near, revision=Revision(0, 99))
         self.assertEqual(newer, self.load_balancer.choose([newer, self.far], 0.1))
