Follow the store through a return from an older copy

Cause: a feed went on from a version that the store had given out again, and never read the changes up to there. A node's own record, though acknowledged, was missing from the store for good. When the row was missing from the copy, the next write met a conflict that names no row and was repeated without pause.

Change: TableFeed, taken out of StateSync, checks the era of each response, reads the table again in a new one, and makes the first poll after a failure a short one, since a long poll would wait in the new era. A feed that sees a new era, or a peer that reports one, ends the other feed's poll. A node whose row is missing, differs or is of an older era writes its record again; this also repairs a row that an earlier write has changed late. The expected version of the row is kept apart from the record, so a conflict needs no placeholder. Log line: store.restored, with the era and the one before.

--- a/packages/lavenderway-dev/lavenderway_dev/server_standin.py
+++ b/packages/lavenderway-dev/lavenderway_dev/server_standin.py
@@ -126,10 +126,14 @@
             self._send_heartbeats(interval_s)
         )
 
-    def stop(self) -> None:
-        """Stop heartbeats and abort all connections."""
+    def stop_heartbeats(self) -> None:
+        """Stop sending heartbeats, and continue to serve."""
         if self._heartbeat_task is not None:
             self._heartbeat_task.cancel()
+
+    def stop(self) -> None:
+        """Stop heartbeats and abort all connections."""
+        self.stop_heartbeats()
         self._listener.close()
         for connection in tuple(self._listener.connections):
             connection.abort()
--- /dev/null
+++ b/packages/lavenderway-relay/lavenderway_relay/feeds.py
@@ -0,0 +1,189 @@
+"""Follows tables of the store, across failures and returns from an older copy."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from lavenderway_relay.store import (
+    HistoryLostError,
+    OutcomeUnknownError,
+    StoreUnavailableError,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lavenderway_relay.revision import Revision
+    from lavenderway_relay.state import NodeState
+    from lavenderway_relay.store import Snapshot, Store
+
+FEED_LONG_POLL_S = 25.0  # the store allows at most 30 s
+VERIFYING_POLL_S = 0.001  # answered at once, if only to learn the era
+MIN_BACKOFF_S = 0.1
+MAX_BACKOFF_S = 1.0  # bounds how late a recovered store is noticed
+
+STORE_FAILURES = (StoreUnavailableError, OutcomeUnknownError)
+
+
+class StoreEra:
+    """The store's present era, by the responses received.
+
+    Args:
+        on_restored: Called with the eras before and after when a new one is seen.
+
+    Attributes:
+        current: The newest era seen; None before the first response.
+
+    """
+
+    def __init__(self, *, on_restored: Callable[[int, int], None]) -> None:
+        self.current: int | None = None
+        self._on_restored = on_restored
+
+    def observe(self, era: int) -> None:
+        """Record the era of a response.
+
+        Raises:
+            OutcomeUnknownError: The response is of an older era, so that what it
+                reports may have been lost since.
+
+        """
+        before = self.current
+        if before is not None and era < before:
+            raise OutcomeUnknownError(
+                f"expected a response of era {before}, got one of era {era}"
+            )
+        self.current = era
+        if before is not None and era > before:
+            self._on_restored(before, era)
+
+
+class TableFeed:
+    """Reads a table and follows its changes.
+
+    Args:
+        table: Name of the table.
+        handle_snapshot: Called with each snapshot.
+        coalesce_delay_s: Pause after changes, so that one call reads those made
+            meanwhile, in seconds.
+        state: State of the node.
+        store: Client of the platform's table service.
+        era: The store's present era.
+        loop: The event loop.
+        random: Returns a random number in [0, 1).
+
+    Attributes:
+        healthy: Whether the last call succeeded; None before the first.
+
+    """
+
+    def __init__(
+        self,
+        *,
+        table: str,
+        handle_snapshot: Callable[[Snapshot], None],
+        coalesce_delay_s: float,
+        state: NodeState,
+        store: Store,
+        era: StoreEra,
+        loop: asyncio.AbstractEventLoop,
+        random: Callable[[], float],
+    ) -> None:
+        self._table = table
+        self._handle_snapshot = handle_snapshot
+        self._coalesce_delay_s = coalesce_delay_s
+        self._state = state
+        self._store = store
+        self._era = era
+        self._loop = loop
+        self._random = random
+        self._position: Revision | None = None
+        self._verifying = False
+        self._poll_timeout: asyncio.Timeout | None = None
+        self.healthy: bool | None = None
+
+    def verify_era(self) -> None:
+        """End a pending long poll, and learn the store's era by a short one."""
+        self._verifying = True
+        if self._poll_timeout is not None and not self._poll_timeout.expired():
+            self._poll_timeout.reschedule(self._loop.time())
+
+    async def run(self) -> None:
+        """Follow the table until cancelled."""
+        backoff_s = MIN_BACKOFF_S
+        while True:
+            try:
+                snapshot = await self._read()
+                if snapshot is None:
+                    continue
+                self._handle(snapshot)
+                backoff_s = MIN_BACKOFF_S
+                self._update_health(None)
+                if snapshot.rows:
+                    await asyncio.sleep(self._coalesce_delay_s)
+            except HistoryLostError:
+                self._state.log.state(
+                    "feed.reread", self._loop.time(), table=self._table
+                )
+                self._position = None
+            except Exception as error:  # the loop must survive any store response
+                if not isinstance(error, STORE_FAILURES):
+                    self._state.log.state(
+                        "sync.fault", self._loop.time(), error=repr(error)
+                    )
+                    self._position = None
+                # The store may return from an older copy. A long poll from a version
+                # that it then gives out again would miss the changes up to there.
+                self._verifying = True
+                self._update_health(error)
+                await asyncio.sleep(backoff_s * (0.5 + self._random()))
+                backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
+
+    async def _read(self) -> Snapshot | None:
+        """Return the whole table or its next changes; None to call again at once."""
+        verifying, self._verifying = self._verifying, False
+        position = self._position
+        if position is not None and position.era != self._era.current:
+            position = None
+        if position is None:
+            snapshot = await self._store.read_table(self._table)
+        else:
+            wait_s = VERIFYING_POLL_S if verifying else FEED_LONG_POLL_S
+            try:
+                async with asyncio.timeout(None) as self._poll_timeout:
+                    snapshot = await self._store.follow(
+                        self._table, position.version, wait_s
+                    )
+            except TimeoutError:
+                return None
+            finally:
+                self._poll_timeout = None
+        self._era.observe(snapshot.revision.era)
+        if position is not None and snapshot.revision.era != position.era:
+            return None  # the version belongs to another history of the table
+        return snapshot
+
+    def _handle(self, snapshot: Snapshot) -> None:
+        for error_text in snapshot.errors:
+            self._state.log.state(
+                "row.unreadable",
+                self._loop.time(),
+                table=self._table,
+                error=error_text,
+            )
+        self._handle_snapshot(snapshot)
+        self._position = snapshot.revision
+
+    def _update_health(self, error: Exception | None) -> None:
+        healthy = error is None
+        if self.healthy is healthy:
+            return
+        self.healthy = healthy
+        event = "store.regained" if healthy else "store.lost"
+        self._state.log.state(
+            event,
+            self._loop.time(),
+            table=self._table,
+            error=str(error) if error else None,
+        )
--- a/packages/lavenderway-relay/lavenderway_relay/sync.py
+++ b/packages/lavenderway-relay/lavenderway_relay/sync.py
@@ -3,6 +3,10 @@
 The change feeds of the store deliver the configuration and the host records. A node
 that cannot use the store pulls both from a peer instead, and so does a node that learns
 from a response that a peer has newer state than its own.
+
+The store may return from an older copy and lose what it has acknowledged. Every node
+then writes its own record again, and keeps the lost records of other hosts until those
+hosts have done so.
 """
 
 from __future__ import annotations
@@ -10,6 +14,13 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from lavenderway_relay.feeds import (
+    MAX_BACKOFF_S,
+    MIN_BACKOFF_S,
+    STORE_FAILURES,
+    StoreEra,
+    TableFeed,
+)
 from lavenderway_relay.model import HostRecord
 from lavenderway_relay.peer_client import STATE_TARGET
 from lavenderway_relay.records import (
@@ -24,12 +35,7 @@
     decode_revision,
     encode_revision,
 )
-from lavenderway_relay.store import (
-    ConflictError,
-    HistoryLostError,
-    OutcomeUnknownError,
-    StoreUnavailableError,
-)
+from lavenderway_relay.store import ABSENT, ConflictError, OutcomeUnknownError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -37,13 +43,10 @@
     from lavenderway_relay.model import Configuration
     from lavenderway_relay.peer_client import PeerClient
     from lavenderway_relay.state import NodeState
-    from lavenderway_relay.store import Snapshot, Store
+    from lavenderway_relay.store import Snapshot, Store, StoredRow
     from lavenderway_relay.upstream_runner import UpstreamRunner
 
 HOSTS_TABLE = "lavenderway-hosts"
-FEED_LONG_POLL_S = 25.0  # the store allows at most 30 s
-MIN_BACKOFF_S = 0.1
-MAX_BACKOFF_S = 1.0  # bounds how late a recovered store is noticed
 PEER_PULL_INTERVAL_S = 0.3  # used while the store is unavailable
 PEER_PULL_DELAY_S = 0.15  # the feed usually delivers the change within this time
 # Pauses after a feed response, so that one call reads the changes made meanwhile. A
@@ -55,9 +58,6 @@
 HOSTS_COALESCE_DELAY_S = 2.0
 
 
-_STORE_FAILURES = (StoreUnavailableError, OutcomeUnknownError)
-
-
 class ConfigurationFormatError(Exception):
     """A configuration document cannot be decoded."""
 
@@ -94,15 +94,35 @@
     ) -> None:
         self._state = state
         self._store = store
+        self._store_era = StoreEra(on_restored=self._handle_restored_store)
         self._peer_client = peer_client
         self._upstream_runner = upstream_runner
         self._loop = loop
         self._random = random
         self._decode_configuration = decode_configuration
-        self._config_table = config_table
         self._config_key = config_key
-        self._store_healthy: dict[str, bool] = {}
-        self._hosts_loaded = asyncio.Event()
+        self._feeds = [
+            TableFeed(
+                table=table,
+                handle_snapshot=handle_snapshot,
+                coalesce_delay_s=coalesce_delay_s,
+                state=state,
+                store=store,
+                era=self._store_era,
+                loop=loop,
+                random=random,
+            )
+            for table, handle_snapshot, coalesce_delay_s in (
+                (
+                    config_table,
+                    self._handle_configuration_rows,
+                    CONFIG_COALESCE_DELAY_S,
+                ),
+                (HOSTS_TABLE, self._handle_host_rows, HOSTS_COALESCE_DELAY_S),
+            )
+        ]
+        self._own_row = NO_REVISION  # era and version of the stored row
+        self._own_record_restored = asyncio.Event()
         self._own_record_changed = asyncio.Event()
         self._own_record_stored = asyncio.Event()
         self._pull_scheduled = False
@@ -111,15 +131,8 @@
 
     def start(self) -> None:
         """Start reading the feeds, writing the own record and pulling from peers."""
-        follow_config = self._follow_table(
-            self._config_table, self._handle_configuration_rows, CONFIG_COALESCE_DELAY_S
-        )
-        follow_hosts = self._follow_table(
-            HOSTS_TABLE, self._handle_host_rows, HOSTS_COALESCE_DELAY_S
-        )
         for coroutine in (
-            follow_config,
-            follow_hosts,
+            *(feed.run() for feed in self._feeds),
             self._write_own_record(),
             self._pull_while_store_unavailable(),
         ):
@@ -156,7 +169,6 @@
         """Return this host's record, built from the present state of the node."""
         settings = self._state.settings
         listeners = settings.listeners
-        known = self._state.host_registry.find(settings.host)
         return HostRecord(
             host=settings.host,
             address=listeners.advertised or listeners.peers,
@@ -164,62 +176,22 @@
             serving=self._state.serving,
             upstream=self._state.local_upstream.current,
             started_ms=self._state.started_ms,
-            revision=known.revision if known else NO_REVISION,
+            revision=Revision(self._store_era.current or 0, self._own_row.version),
         )
 
-    async def _follow_table(
-        self,
-        table: str,
-        handle_snapshot: Callable[[Snapshot], None],
-        coalesce_delay_s: float,
-    ) -> None:
-        backoff_s = MIN_BACKOFF_S
-        revision: Revision | None = None
-        while True:
-            try:
-                if revision is None:
-                    snapshot = await self._store.read_table(table)
-                else:
-                    snapshot = await self._store.follow(
-                        table, revision.version, FEED_LONG_POLL_S
-                    )
-                for error_text in snapshot.errors:
-                    self._state.log.state(
-                        "row.unreadable",
-                        self._loop.time(),
-                        table=table,
-                        error=error_text,
-                    )
-                handle_snapshot(snapshot)
-                revision = snapshot.revision
-                backoff_s = MIN_BACKOFF_S
-                self._update_store_health(table, None)
-                if snapshot.rows:
-                    await asyncio.sleep(coalesce_delay_s)
-            except HistoryLostError:
-                self._state.log.state("feed.reread", self._loop.time(), table=table)
-                revision = None
-            except Exception as error:  # the loop must survive any store response
-                if not isinstance(error, _STORE_FAILURES):
-                    self._log_unexpected_error(error)
-                    revision = None
-                self._update_store_health(table, error)
-                await asyncio.sleep(backoff_s * (0.5 + self._random()))
-                backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
+    def _handle_restored_store(self, before: int, era: int) -> None:
+        self._state.log.state(
+            "store.restored", self._loop.time(), before=before, era=era
+        )
+        self._verify_era()
+
+    def _verify_era(self) -> None:
+        for feed in self._feeds:
+            feed.verify_era()
 
     def _log_unexpected_error(self, error: Exception) -> None:
         self._state.log.state("sync.fault", self._loop.time(), error=repr(error))
 
-    def _update_store_health(self, table: str, error: Exception | None) -> None:
-        healthy = error is None
-        if self._store_healthy.get(table) is healthy:
-            return
-        self._store_healthy[table] = healthy
-        event = "store.regained" if healthy else "store.lost"
-        self._state.log.state(
-            event, self._loop.time(), table=table, error=str(error) if error else None
-        )
-
     def _handle_configuration_rows(self, snapshot: Snapshot) -> None:
         for row in snapshot.rows:
             if row.key == self._config_key and row.value is not None:
@@ -245,25 +217,59 @@
             )
 
     def _handle_host_rows(self, snapshot: Snapshot) -> None:
-        records = []
-        for row in snapshot.rows:
-            if row.value is None:
-                continue
-            try:
-                record = decode_record(row.value, row.version)
-                if record.host != row.key:
-                    raise RecordFormatError(
-                        f"host: expected the key of the row, got {record.host}"
-                    )
-                records.append(record)
-            except RecordFormatError as error:
-                self._state.log.state(
-                    "host.unreadable", self._loop.time(), key=row.key, error=str(error)
-                )
+        records = [
+            record
+            for row in snapshot.rows
+            if (record := self._decode_host_row(row, snapshot.revision.era)) is not None
+        ]
         self._merge_records(records, snapshot.revision, "store")
-        if not self._hosts_loaded.is_set():
+        self._check_own_row(snapshot, records)
+        if not self._own_record_restored.is_set():
             self._restore_own_record()
-            self._hosts_loaded.set()
+            self._own_record_restored.set()
+
+    def _decode_host_row(self, row: StoredRow, era: int) -> HostRecord | None:
+        if row.value is None:
+            return None
+        try:
+            record = decode_record(row.value, row.version)
+            if record.host != row.key:
+                raise RecordFormatError(
+                    f"host: expected the key of the row, got {record.host}"
+                )
+            if record.revision.era > era:
+                raise RecordFormatError(
+                    f"era: expected at most {era}, got {record.revision.era}"
+                )
+        except RecordFormatError as error:
+            self._state.log.state(
+                "host.unreadable", self._loop.time(), key=row.key, error=str(error)
+            )
+            return None
+        return record
+
+    def _check_own_row(self, snapshot: Snapshot, records: list[HostRecord]) -> None:
+        """Publish this host's record if the stored row is missing or differs.
+
+        The store may have lost the row, or applied an earlier write late.
+        """
+        host = self._state.settings.host
+        row = next((row for row in snapshot.rows if row.key == host), None)
+        if row is None and not snapshot.complete:
+            return
+        seen_at = snapshot.revision
+        if row is not None:
+            seen_at = seen_at._replace(version=row.version)
+        if seen_at <= self._own_row:
+            return  # older than a write that has been acknowledged since
+        deleted = row is None or row.value is None
+        self._own_row = seen_at._replace(version=ABSENT) if deleted else seen_at
+        if not self._own_record_restored.is_set():
+            return
+        stored = next((record for record in records if record.host == host), None)
+        published = self._state.host_registry.find(host) is not None
+        if published and stored != self.build_own_record():
+            self.publish()
 
     def _merge_records(
         self, records: list[HostRecord], revision: Revision, source: str
@@ -320,20 +326,16 @@
             self.publish()
 
     async def _write_own_record(self) -> None:
-        await self._hosts_loaded.wait()
+        await self._own_record_restored.wait()
         backoff_s = MIN_BACKOFF_S
         while True:
             await self._own_record_changed.wait()
             self._own_record_changed.clear()
-            record = self.build_own_record()
             try:
-                await self._store_own_record(record)
+                await self._store_own_record(self.build_own_record())
                 backoff_s = MIN_BACKOFF_S
-            except ConflictError as error:
-                self._resolve_conflict(error)
-                self._own_record_changed.set()
             except Exception as error:  # the write is retried until it succeeds
-                if not isinstance(error, _STORE_FAILURES):
+                if not isinstance(error, STORE_FAILURES):
                     self._log_unexpected_error(error)
                 self._own_record_changed.set()
                 self._state.log.state(
@@ -343,35 +345,39 @@
                 backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
 
     async def _store_own_record(self, record: HostRecord) -> None:
+        """Write this host's record; schedule another write if it has to be repeated."""
         value = encode_record(record)
-        written = await self._store.write(
-            HOSTS_TABLE, record.host, value, record.revision.version
-        )
+        expected = record.revision.version
+        try:
+            written = await self._store.write(HOSTS_TABLE, record.host, value, expected)
+        except ConflictError as error:
+            self._resolve_conflict(error, expected)
+            return
+        self._store_era.observe(written.era)
+        self._own_row = written
         self._merge_records([decode_record(value, written.version)], NO_REVISION, "own")
+        if written.era != record.revision.era:
+            self._own_record_changed.set()  # a row names the era that it is written in
         if not self._own_record_changed.is_set():
             self._own_record_stored.set()
 
-    def _resolve_conflict(self, error: ConflictError) -> None:
-        """Merge the stored row, so that the next write expects its revision.
+    def _resolve_conflict(self, error: ConflictError, expected: int) -> None:
+        """Schedule another write, which expects the version that the row has.
+
+        A conflict arises when an earlier write of this node was applied late, or when
+        the store has returned from an older copy.
+
+        Raises:
+            OutcomeUnknownError: The conflict does not tell another version.
 
-        A conflict arises when an earlier write of this node was applied late. If the
-        row cannot be decoded, a placeholder record with its revision is merged instead.
         """
+        self._store_era.observe(error.era)
         row = error.row
-        if row is None or row.value is None:
-            return
-        try:
-            record = decode_record(row.value, row.version)
-        except RecordFormatError:
-            record = HostRecord(
-                host=self._state.settings.host,
-                address=self._state.settings.listeners.peers,
-                failure_domain=self._state.settings.failure_domain,
-                serving=False,
-                upstream=None,
-                revision=Revision(0, row.version),
-            )
-        self._merge_records([record], NO_REVISION, "conflict")
+        version = ABSENT if row is None or row.value is None else row.version
+        if version == expected:
+            raise OutcomeUnknownError(f"unexplained conflict at version {expected}")
+        self._own_row = Revision(error.era, version)
+        self._own_record_changed.set()
 
     def _schedule_pull(self, record: HostRecord) -> None:
         if not self._pull_scheduled:
@@ -394,7 +400,7 @@
     async def _pull_while_store_unavailable(self) -> None:
         while True:
             await asyncio.sleep(PEER_PULL_INTERVAL_S * (0.75 + self._random() / 2))
-            if self._store_healthy and all(self._store_healthy.values()):
+            if all(feed.healthy for feed in self._feeds):
                 continue
             peers = self._state.host_registry.peers(self._state.settings.host)
             if peers:
@@ -417,7 +423,13 @@
             if isinstance(document, str):
                 self._apply_document(document.encode(), record.host)
         except (RecordFormatError, TypeError, ValueError) as error:
-            state.log.failure("peer.malformed", self._loop.time(), error=str(error))
+            self._log_malformed_reply(error)
+            return
+        if revision.era > (self._store_era.current or 0):
+            self._verify_era()
+
+    def _log_malformed_reply(self, error: Exception) -> None:
+        self._state.log.failure("peer.malformed", self._loop.time(), error=str(error))
 
 
 def _has_restarted(known: HostRecord | None, record: HostRecord) -> bool:
--- a/tests/end_to_end/test_relay_fleet.py
+++ b/tests/end_to_end/test_relay_fleet.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from typing import Any
 
+import orjson
 from lavenderway_dev.relay_fleet import (
     RelayFleet,
     RelayHostPlan,
@@ -58,6 +59,26 @@
     async def get(self, path: str, host: str = "front", **options: Any) -> Response:
         return await self.fleet.send(host, path, **options)
 
+    async def send_many(self, count: int, host: str = "front") -> list[int]:
+        responses = [self.get(f"/back/{number}", host) for number in range(count)]
+        return [response.status for response in await asyncio.gather(*responses)]
+
+    async def wait_for(self, path: str, status: int, host: str) -> float:
+        """Wait until a path returns a status; return the elapsed seconds."""
+        started = time.monotonic()
+        async with asyncio.timeout(8.0):
+            while (await self.get(path, host=host, key=KEY)).status != status:
+                await asyncio.sleep(0.02)
+        return time.monotonic() - started
+
+    async def restart_node(self, name: str) -> None:
+        """Kill the node of a host and start it again."""
+        host = self.fleet.hosts[name]
+        host.signal(signal.SIGKILL)
+        await host.wait()
+        await host.start_node()
+        await self.fleet.wait_until_ready(host)
+
     def count_runs(self, prefix: bytes) -> int:
         """Return the number of executions of requests with a path prefix."""
         return sum(
@@ -171,10 +192,6 @@
 class LeavingUpstreams(RelayFleetCase):
     """A draining upstream gets no new request after the acknowledgement."""
 
-    async def send_many(self, count: int) -> list[int]:
-        responses = [self.get(f"/back/{number}") for number in range(count)]
-        return [response.status for response in await asyncio.gather(*responses)]
-
     async def test_no_request_after_the_acknowledgement(self) -> None:
         await self.send_many(20)
         leaving = self.servers["back1"]
@@ -247,14 +264,6 @@
 class Configurations(RelayFleetCase):
     """A configuration takes effect on all nodes within seconds and never reverts."""
 
-    async def wait_for(self, path: str, status: int, host: str) -> float:
-        """Wait until a path returns a status; return the elapsed seconds."""
-        started = time.monotonic()
-        async with asyncio.timeout(8.0):
-            while (await self.get(path, host=host, key=KEY)).status != status:
-                await asyncio.sleep(0.02)
-        return time.monotonic() - started
-
     async def test_added_route_and_removed_key(self) -> None:
         routes = {**ROUTES, "new": make_route("/new/", "back")}
         self.fleet.configure(make_config(2, routes, {"coulee": {"api-keys": []}}))
@@ -362,6 +371,110 @@
                 await asyncio.sleep(0.05)
 
 
+class RestoredStore(RelayFleetCase):
+    """The store returns from an older copy, and its versions are given out again."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.copy = self.fleet.store.save_copy()
+
+    def refuse_store_calls(self, status: int) -> None:
+        for host in self.fleet.hosts.values():
+            host.faults.refuse_with = status
+
+    async def wait_until_learned(self, upstream: str, status: str) -> None:
+        """Wait until every node has learned a status of an upstream."""
+        expected = ("host.learned", upstream, status)
+        async with asyncio.timeout(8.0):
+            for host in self.fleet.hosts.values():
+                while not any(
+                    (line["event"], line.get("upstream"), line.get("status"))
+                    == expected
+                    for line in host.read_log()
+                ):
+                    await asyncio.sleep(0.05)
+
+    async def drain_back1(self) -> None:
+        """Have an upstream's draining acknowledged and learned by every node."""
+        leaving = self.servers["back1"]
+        self.assertEqual(200, await leaving.leave())
+        leaving.stop_heartbeats()
+        await self.wait_until_learned(leaving.name, "leaving")
+
+    async def assert_back1_stays_unused(self) -> None:
+        """Send requests after a delayed announcement that the upstream is ready."""
+        leaving = self.servers["back1"]
+        leaving.state = "ready"
+        await leaving.send_heartbeat(sequence=2)
+        before = len(leaving.runs)
+        for host in ("front", "back1") * 5:
+            self.assertEqual({200}, set(await self.send_many(8, host)))
+        self.assertEqual(before, len(leaving.runs))
+
+    async def test_draining_is_stored_again(self) -> None:
+        await self.drain_back1()
+        self.fleet.store.restore(self.copy)
+        async with asyncio.timeout(8.0):
+            while True:
+                value = self.fleet.store.get("lavenderway-hosts", "back1")
+                if orjson.loads(value or b"")["upstream"]["status"] == "leaving":
+                    break
+                await asyncio.sleep(0.05)
+        await self.restart_node("back1")
+        await self.assert_back1_stays_unused()
+
+    async def test_configuration_written_at_a_reused_version(self) -> None:
+        routes = {**ROUTES, "lost": make_route("/lost/", "back")}
+        self.fleet.configure(make_config(2, routes, TENANTS))
+        for host in self.fleet.hosts:
+            await self.wait_for("/lost/x", 200, host)
+        self.refuse_store_calls(503)
+        await asyncio.sleep(0.2)
+        self.fleet.store.restore(self.copy)
+        routes = {**ROUTES, "new": make_route("/new/", "back")}
+        self.fleet.configure(make_config(3, routes, TENANTS))
+        self.refuse_store_calls(0)
+        for host in self.fleet.hosts:
+            self.assertLess(await self.wait_for("/new/x", 200, host), 3.0)
+
+    async def replace_back2(self) -> None:
+        """Replace an upstream; the store loses the departure of the former one."""
+        host = self.fleet.hosts["back2"]
+        await host.server.deregister()
+        await self.wait_until_learned("i-back2", "gone")
+        self.refuse_store_calls(503)
+        await asyncio.sleep(0.2)
+        self.fleet.store.restore(self.copy)
+        host.server.stop()
+        host.server = host.create_server("i-back2-new")
+        host.faults.refuse_with = 0
+        await host.server.start()
+
+    async def test_host_record_written_at_a_reused_version(self) -> None:
+        await self.replace_back2()
+        self.refuse_store_calls(0)
+        await self.wait_until_learned("i-back2-new", "ready")
+
+    async def test_nodes_without_store_learn_the_new_era_from_peers(self) -> None:
+        await self.replace_back2()
+        await self.wait_until_learned("i-back2-new", "ready")
+
+    async def test_node_keeps_its_newer_configuration(self) -> None:
+        routes = {**ROUTES, "new": make_route("/new/", "back")}
+        self.fleet.configure(make_config(2, routes, TENANTS))
+        await self.wait_for("/new/x", 200, "front")
+        self.fleet.store.restore(self.copy)
+        await asyncio.sleep(1.0)
+        self.assertEqual(200, (await self.get("/new/x")).status)
+
+    async def test_new_era_is_logged_once(self) -> None:
+        self.fleet.store.restore(self.copy)
+        await asyncio.sleep(1.5)
+        for host in self.fleet.hosts.values():
+            lines = [x for x in host.read_log() if x["event"] == "store.restored"]
+            self.assertEqual([(0, 1)], [(x["before"], x["era"]) for x in lines])
+
+
 class Rates(RelayFleetCase):
     """The rate and burst of a workspace hold over the whole fleet."""
 
--- /dev/null
+++ b/tests/relay/test_sync.py
@@ -0,0 +1,201 @@
+"""Tests of keeping this host's record in a store that returns from an older copy."""
+
+import asyncio
+import os
+import unittest
+from collections.abc import Callable
+from dataclasses import replace
+from typing import cast
+
+from lavenderway_core.ids import FailureDomainId, ServiceId, UpstreamId
+from lavenderway_relay.model import Configuration, HostRecord, Upstream, UpstreamStatus
+from lavenderway_relay.peer_client import PeerClient
+from lavenderway_relay.records import decode_record, encode_record
+from lavenderway_relay.revision import NO_REVISION, Revision
+from lavenderway_relay.store import OutcomeUnknownError
+from lavenderway_relay.sync import (
+    HOSTS_TABLE,
+    ConfigurationFormatError,
+    StateSync,
+)
+from lavenderway_relay.upstream_runner import UpstreamRunner
+
+from tests.relay.support import ANY_ADDRESS, OWN_HOST, ScriptedStore, make_state
+from tests.relay.test_host_registry import make_record
+
+READY = Upstream(
+    id=UpstreamId("i-own"),
+    service=ServiceId("archive"),
+    address=ANY_ADDRESS,
+    slots=10,
+    status=UpstreamStatus.READY,
+    started_ms=1000,
+    sequence=5,
+)
+LEAVING = replace(READY, status=UpstreamStatus.LEAVING, sequence=9)
+PEER = make_record("peer")
+
+
+def make_own_record(
+    upstream: Upstream, revision: Revision = NO_REVISION, *, started_ms: int = 4000
+) -> HostRecord:
+    """Return a record of the own host, by default of an earlier process."""
+    return HostRecord(
+        host=OWN_HOST,
+        address=ANY_ADDRESS,
+        failure_domain=FailureDomainId("east"),
+        serving=True,
+        upstream=upstream,
+        started_ms=started_ms,
+        revision=revision,
+    )
+
+
+def reject_document(document: bytes) -> Configuration:
+    raise ConfigurationFormatError(document)
+
+
+class ScriptedPeerClient:
+    """Client of peers that is never used, as the store answers."""
+
+    def __init__(self) -> None:
+        self.on_newer_state: Callable[[HostRecord], None] = lambda _: None
+
+
+class StateSyncCase(unittest.IsolatedAsyncioTestCase):
+    """A node without listeners, a scripted store and a scripted peer."""
+
+    async def asyncSetUp(self) -> None:
+        log = os.open(os.devnull, os.O_WRONLY)
+        self.addCleanup(os.close, log)
+        self.state = make_state(log=log)
+        self.store = ScriptedStore()
+        self.peer_client = ScriptedPeerClient()
+        loop = asyncio.get_running_loop()
+        self.sync = StateSync(
+            state=self.state,
+            store=self.store,
+            peer_client=cast(PeerClient, self.peer_client),
+            upstream_runner=UpstreamRunner(state=self.state, loop=loop),
+            loop=loop,
+            random=lambda: 0.0,
+            decode_configuration=reject_document,
+            config_table="op",
+            config_key="config",
+        )
+        self.addCleanup(self.sync.stop)
+
+    def put_record(self, record: HostRecord) -> None:
+        self.store.put(HOSTS_TABLE, record.host, encode_record(record))
+
+    def find_stored(self) -> HostRecord | None:
+        row = self.store.find(HOSTS_TABLE, OWN_HOST)
+        if row is None or row.value is None:
+            return None
+        return decode_record(row.value, row.version)
+
+    async def wait_until(self, condition: Callable[[], bool]) -> None:
+        async with asyncio.timeout(4.0):  # longer than the pause after a change
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def start(self) -> None:
+        self.sync.start()
+        await self.wait_until(lambda: self.sync._own_record_restored.is_set())
+
+    async def announce(self, upstream: Upstream) -> None:
+        """Announce the upstream and wait until its record is stored."""
+        self.state.local_upstream.announce(upstream, 0.0)
+        self.sync.publish()
+        self.assertTrue(await self.sync.wait_until_published(4.0))
+
+
+class PublishedAgain(StateSyncCase):
+    """A running node's record is stored again if the store has lost it."""
+
+    async def test_row_missing_from_the_copy(self) -> None:
+        copy = self.store.save_copy()
+        await self.start()
+        await self.announce(LEAVING)
+        self.store.restore(copy)
+        await self.wait_until(lambda: self.find_stored() is not None)
+        stored = self.find_stored()
+        assert stored is not None
+        self.assertEqual(LEAVING, stored.upstream)
+        self.assertEqual(1, stored.revision.era)
+
+    async def test_older_row_in_the_copy(self) -> None:
+        await self.start()
+        await self.announce(READY)
+        copy = self.store.save_copy()
+        await self.announce(LEAVING)
+        self.store.restore(copy)
+        expected = make_own_record(LEAVING, Revision(1, 2), started_ms=5000)
+        await self.wait_until(lambda: self.find_stored() == expected)
+        self.assertEqual(expected, self.state.host_registry.find(OWN_HOST))
+
+    async def test_write_before_the_new_era_is_seen(self) -> None:
+        """The write meets a row of the copy, and is acknowledged for the new era."""
+        await self.start()
+        await self.announce(READY)
+        copy = self.store.save_copy()
+        await self.announce(replace(READY, sequence=6, slots=20))
+        self.store.restore(copy, wake=False)
+        await self.announce(LEAVING)
+        stored = self.find_stored()
+        assert stored is not None
+        self.assertEqual((LEAVING, 1), (stored.upstream, stored.revision.era))
+
+    async def test_write_of_the_older_era_that_succeeds_is_repeated(self) -> None:
+        await self.start()
+        await self.announce(READY)
+        self.store.restore(self.store.save_copy(), wake=False)
+        await self.announce(LEAVING)
+        stored = self.find_stored()
+        assert stored is not None
+        self.assertEqual((LEAVING, 1), (stored.upstream, stored.revision.era))
+
+    async def test_earlier_write_applied_late(self) -> None:
+        await self.start()
+        await self.announce(LEAVING)
+        self.put_record(make_own_record(READY, started_ms=5000))
+        await self.wait_until(lambda: self.store.writes == 2)
+        stored = self.find_stored()
+        assert stored is not None
+        self.assertEqual(LEAVING, stored.upstream)
+
+    async def test_row_that_names_a_later_era_is_ignored(self) -> None:
+        self.put_record(replace(PEER, revision=Revision(7, 0)))
+        self.put_record(make_own_record(LEAVING, Revision(7, 0)))
+        await self.start()
+        await self.announce(READY)
+        self.assertIsNone(self.state.host_registry.find(PEER.host))
+        stored = self.find_stored()
+        assert stored is not None
+        self.assertEqual((READY, 0), (stored.upstream, stored.revision.era))
+
+    async def test_unchanged_row_is_not_written_again(self) -> None:
+        await self.start()
+        await self.announce(READY)
+        await asyncio.sleep(0.1)
+        self.store.put(HOSTS_TABLE, PEER.host, encode_record(PEER))
+        await self.wait_until(lambda: bool(self.state.host_registry.find(PEER.host)))
+        self.assertEqual(1, self.store.writes)
+
+    async def test_conflict_that_tells_no_other_version_is_not_retried_at_once(
+        self,
+    ) -> None:
+        await self.start()
+        self.store.conflicts = True
+        self.state.local_upstream.announce(READY, 0.0)
+        calls = self.store.calls
+        self.sync.publish()
+        await asyncio.sleep(0.3)
+        self.assertLessEqual(self.store.calls - calls, 6)
+
+    async def test_acknowledgement_of_an_older_era_is_not_kept(self) -> None:
+        await self.start()
+        self.sync._store_era.observe(1)
+        with self.assertRaises(OutcomeUnknownError):
+            await self.sync._store_own_record(make_own_record(READY))
+        self.assertFalse(await self.sync.wait_until_published(0.01))
