Rely on no row of an older era after a restart

Cause: a node that restarted after the store had returned from an older copy took up its upstream as the copy had it. An upstream whose draining had been acknowledged was ready again, and was sent requests until its next announcement; a delayed one, from before the draining, was believed.

Change: the restarted node asks up to eight peers for its record, and takes up a departure that any of them knows. A ready upstream from a row of an older era gets no requests, and is not published, until it announces itself. The stored state also replaces an announcement that arrives before the store is read and is older than the stored one.

--- a/packages/lavenderway-relay/lavenderway_relay/announcements.py
+++ b/packages/lavenderway-relay/lavenderway_relay/announcements.py
@@ -37,24 +37,41 @@
     Attributes:
         current: The upstream by its last announcement that took effect; None before
             the first.
-        silent: Whether too many announcements in a row were missed.
+        silent: Whether too many announcements in a row were missed, or none has been
+            received since an unconfirmed state was restored.
+        confirmed: False if `current` was restored from a record that may be out of
+            date.
 
     """
 
     def __init__(self, *, interval_s: float) -> None:
         self.current: Upstream | None = None
         self.silent = False
+        self.confirmed = True
         self._interval_s = interval_s
         self._last_announced_at: float | None = None
         self._departed: dict[UpstreamId, int] = {}
 
-    def restore(self, upstream: Upstream) -> None:
+    def restore(self, upstream: Upstream | None, *, confirmed: bool = True) -> None:
         """Set the upstream that was stored before the node restarted.
 
-        Has no effect if an upstream has been announced already.
+        Has no effect if an upstream has been announced since, unless it is outdated.
+
+        Args:
+            upstream: The stored upstream; None if there is none.
+            confirmed: False if the upstream may have announced its departure since; it
+                then has to announce itself, unless it is departing already.
+
         """
-        if self.current is None:
-            self.current = upstream
+        known = self.current
+        if known is not None and (
+            upstream is None or not _is_outdated(known, upstream)
+        ):
+            return
+        departing = upstream is not None and upstream.status is not UpstreamStatus.READY
+        self.current = upstream
+        self.confirmed = confirmed or departing
+        self.silent = not self.confirmed
 
     def announce(self, upstream: Upstream, now: float) -> AnnouncementEffect:
         """Apply an announcement."""
@@ -67,6 +84,7 @@
         self.current = upstream
         changed = known is None or self.silent or _has_changed(upstream, known)
         self.silent = False
+        self.confirmed = True
         return AnnouncementEffect.CHANGED if changed else AnnouncementEffect.REPEATED
 
     def deregister(
@@ -95,6 +113,7 @@
         if known.status is UpstreamStatus.GONE:
             return AnnouncementEffect.REPEATED
         self._departed[upstream_id] = known.started_ms
+        self.confirmed = True
         self.current = replace(known, status=UpstreamStatus.GONE)
         return AnnouncementEffect.CHANGED
 
--- a/packages/lavenderway-relay/lavenderway_relay/peer_client.py
+++ b/packages/lavenderway-relay/lavenderway_relay/peer_client.py
@@ -42,6 +42,7 @@
 BORROW_TIMEOUT_S = 0.1  # bounds the delay of a rate limit refusal
 TOKENS_TARGET = b"/lavenderway/tokens"
 STATE_TARGET = b"/lavenderway/state"
+RECORD_TARGET = b"/lavenderway/record"
 
 _NO_HOP_RESPONSE = HopResponse(
     Outcome.ABSENT, False, 0.0, 0.0, False, {}, {}, 0, NO_REVISION, False
--- a/packages/lavenderway-relay/lavenderway_relay/peer_handler.py
+++ b/packages/lavenderway-relay/lavenderway_relay/peer_handler.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 import orjson
-from lavenderway_core.ids import WorkspaceId
+from lavenderway_core.ids import HostId, WorkspaceId
 
 from lavenderway_relay.hops import (
     HOP_HEADER,
@@ -16,7 +16,11 @@
     encode_hop_response,
 )
 from lavenderway_relay.messages import Response, strip_headers
-from lavenderway_relay.peer_client import STATE_TARGET, TOKENS_TARGET
+from lavenderway_relay.peer_client import (
+    RECORD_TARGET,
+    STATE_TARGET,
+    TOKENS_TARGET,
+)
 from lavenderway_relay.records import encode_records
 from lavenderway_relay.refusals import Refusal, refuse
 from lavenderway_relay.revision import decode_revision, encode_revision
@@ -97,6 +101,8 @@
                 return _json_response(self._lend_tokens(payload))
             if request.target == STATE_TARGET:
                 return _json_response(self._read_state(payload))
+            if request.target == RECORD_TARGET:
+                return _json_response(self._find_record(payload))
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             self._log_malformed(error)
             return refuse(Refusal.MALFORMED)
@@ -121,6 +127,10 @@
             reply["document"] = state.document.decode()
         return reply
 
+    def _find_record(self, payload: dict[str, Any]) -> dict[str, Any]:
+        record = self._state.host_registry.find(HostId(payload["host"]))
+        return {"hosts": encode_records([record] if record is not None else [])}
+
     def _log_malformed(self, error: Exception) -> None:
         self._state.log.failure("peer.malformed", self._loop.time(), error=str(error))
 
--- a/packages/lavenderway-relay/lavenderway_relay/sync.py
+++ b/packages/lavenderway-relay/lavenderway_relay/sync.py
@@ -6,7 +6,7 @@
 
 The store may return from an older copy and lose what it has acknowledged. Every node
 then writes its own record again, and keeps the lost records of other hosts until those
-hosts have done so.
+hosts have done so. A node that restarts meanwhile asks its peers for its own record.
 """
 
 from __future__ import annotations
@@ -22,7 +22,7 @@
     TableFeed,
 )
 from lavenderway_relay.model import HostRecord
-from lavenderway_relay.peer_client import STATE_TARGET
+from lavenderway_relay.peer_client import RECORD_TARGET, STATE_TARGET
 from lavenderway_relay.records import (
     RecordFormatError,
     decode_record,
@@ -49,6 +49,7 @@
 HOSTS_TABLE = "lavenderway-hosts"
 PEER_PULL_INTERVAL_S = 0.3  # used while the store is unavailable
 PEER_PULL_DELAY_S = 0.15  # the feed usually delivers the change within this time
+MAX_CONFIRMING_PEERS = 8  # nodes that a restarted node asks for its own record
 # Pauses after a feed response, so that one call reads the changes made meanwhile. A
 # configuration change is applied almost at once. A host change is delayed, because each
 # one ends the long polls of all other nodes. Until it is read, the node beside an
@@ -122,6 +123,7 @@
             )
         ]
         self._own_row = NO_REVISION  # era and version of the stored row
+        self._restore_task: asyncio.Task[None] | None = None
         self._own_record_restored = asyncio.Event()
         self._own_record_changed = asyncio.Event()
         self._own_record_stored = asyncio.Event()
@@ -224,9 +226,11 @@
         ]
         self._merge_records(records, snapshot.revision, "store")
         self._check_own_row(snapshot, records)
-        if not self._own_record_restored.is_set():
-            self._restore_own_record()
-            self._own_record_restored.set()
+        if self._restore_task is None:
+            self._restore_task = self._state.tasks.start(
+                self._restore_own_record(), self._loop
+            )
+            self._tasks.append(self._restore_task)
 
     def _decode_host_row(self, row: StoredRow, era: int) -> HostRecord | None:
         if row.value is None:
@@ -306,24 +310,58 @@
         if changed:
             state.update_token_owners(now)
 
-    def _restore_own_record(self) -> None:
+    async def _restore_own_record(self) -> None:
         """Restore the upstream from the record stored before this node restarted.
 
-        Publishes this host's record if the stored one is out of date.
+        A record of an older era may lack changes that the store has lost, so the peers
+        are asked for a newer one. Publishes this host's record if the stored one is
+        out of date.
         """
-        record = self._state.host_registry.find(self._state.settings.host)
-        if record is None:
-            return
+        try:
+            record = self._find_own_record()
+            era = record.revision.era if record is not None else 0
+            if era != self._store_era.current:
+                await self._pull_own_record()
+                record = self._find_own_record()
+            if record is not None:
+                self._restore_upstream(record)
+                if self.build_own_record() != record:
+                    self.publish()
+        finally:
+            self._own_record_restored.set()
+
+    def _find_own_record(self) -> HostRecord | None:
+        return self._state.host_registry.find(self._state.settings.host)
+
+    def _restore_upstream(self, record: HostRecord) -> None:
         upstream = record.upstream
-        local_upstream = self._state.local_upstream
-        same_address = upstream is not None and (
-            upstream.address == self._state.settings.upstream_address
+        if (
+            upstream is not None
+            and upstream.address != self._state.settings.upstream_address
+        ):
+            upstream = None
+        self._state.local_upstream.restore(
+            upstream, confirmed=record.revision.era == self._store_era.current
         )
-        if upstream is not None and same_address and local_upstream.current is None:
-            local_upstream.restore(upstream)
-            self._upstream_runner.apply_announcement()
-        if self.build_own_record() != record:
-            self.publish()
+        self._upstream_runner.apply_announcement()
+
+    async def _pull_own_record(self) -> None:
+        """Merge the newest record of this host that several peers know."""
+        host = self._state.settings.host
+        peers = self._state.host_registry.peers(host)
+        while len(peers) > MAX_CONFIRMING_PEERS:
+            peers.pop(int(self._random() * len(peers)))
+        queries = (
+            self._peer_client.query(peer, RECORD_TARGET, {"host": host})
+            for peer in peers
+        )
+        for reply in await asyncio.gather(*queries):
+            try:
+                records = decode_records(reply.get("hosts", [])) if reply else []
+            except RecordFormatError as error:
+                self._log_malformed_reply(error)
+                continue
+            self._merge_records(records, NO_REVISION, "peer")
 
     async def _write_own_record(self) -> None:
         await self._own_record_restored.wait()
@@ -331,6 +369,8 @@
         while True:
             await self._own_record_changed.wait()
             self._own_record_changed.clear()
+            if not self._state.local_upstream.confirmed:
+                continue  # the next announcement publishes the record
             try:
                 await self._store_own_record(self.build_own_record())
                 backoff_s = MIN_BACKOFF_S
@@ -427,6 +467,10 @@
             return
         if revision.era > (self._store_era.current or 0):
             self._verify_era()
+        own_record = self._find_own_record()
+        if own_record is not None and not state.local_upstream.confirmed:
+            self._restore_upstream(own_record)
+            self.publish()
 
     def _log_malformed_reply(self, error: Exception) -> None:
         self._state.log.failure("peer.malformed", self._loop.time(), error=str(error))
--- a/tests/end_to_end/test_relay_fleet.py
+++ b/tests/end_to_end/test_relay_fleet.py
@@ -411,6 +411,17 @@
             self.assertEqual({200}, set(await self.send_many(8, host)))
         self.assertEqual(before, len(leaving.runs))
 
+    async def test_draining_survives_with_the_peers(self) -> None:
+        """The node is down while the store loses its record."""
+        await self.drain_back1()
+        host = self.fleet.hosts["back1"]
+        host.signal(signal.SIGKILL)
+        await host.wait()
+        self.fleet.store.restore(self.copy)
+        await host.start_node()
+        await self.fleet.wait_until_ready(host)
+        await self.assert_back1_stays_unused()
+
     async def test_draining_is_stored_again(self) -> None:
         await self.drain_back1()
         self.fleet.store.restore(self.copy)
@@ -423,6 +434,25 @@
         await self.restart_node("back1")
         await self.assert_back1_stays_unused()
 
+    async def test_killed_upstream_is_not_used_until_it_announces_itself(self) -> None:
+        """Nothing tells a fleet that was killed with its store what it has lost."""
+        leaving = self.servers["back1"]
+        self.assertEqual(200, await leaving.leave())
+        leaving.stop_heartbeats()
+        for host in self.fleet.hosts.values():
+            host.signal(signal.SIGKILL)
+            await host.wait()
+        self.fleet.store.restore(self.copy)
+        for host in self.fleet.hosts.values():
+            await host.start_node()
+        for host in self.fleet.hosts.values():
+            await self.fleet.wait_until_ready(host)
+        before = len(leaving.runs)
+        await self.wait_for("/front/x", 200, "front")
+        for _ in range(5):
+            self.assertEqual({200}, set(await self.send_many(8)))
+        self.assertEqual(before, len(leaving.runs))
+
     async def test_configuration_written_at_a_reused_version(self) -> None:
         routes = {**ROUTES, "lost": make_route("/lost/", "back")}
         self.fleet.configure(make_config(2, routes, TENANTS))
--- a/tests/relay/test_announcements.py
+++ b/tests/relay/test_announcements.py
@@ -109,6 +109,45 @@
         )
 
 
+class UnconfirmedUpstream(unittest.TestCase):
+    """A ready upstream from an older copy of the store has to announce itself."""
+
+    def setUp(self) -> None:
+        self.local_upstream = LocalUpstream(interval_s=1.0)
+        self.local_upstream.restore(READY_UPSTREAM, confirmed=False)
+
+    def test_silent_until_the_next_announcement(self) -> None:
+        self.assertTrue(self.local_upstream.silent)
+        effect = self.local_upstream.announce(replace(READY_UPSTREAM, sequence=6), 1.0)
+        self.assertEqual(AnnouncementEffect.CHANGED, effect)
+        self.assertFalse(self.local_upstream.silent)
+        self.assertTrue(self.local_upstream.confirmed)
+
+    def test_delayed_announcement_is_outdated(self) -> None:
+        self.assertEqual(
+            AnnouncementEffect.OUTDATED,
+            self.local_upstream.announce(READY_UPSTREAM, 1.0),
+        )
+        self.assertFalse(self.local_upstream.confirmed)
+
+    def test_newer_departure_is_confirmed(self) -> None:
+        leaving = replace(READY_UPSTREAM, sequence=7, status=UpstreamStatus.LEAVING)
+        self.local_upstream.restore(leaving, confirmed=False)
+        self.assertEqual(leaving, self.local_upstream.current)
+        self.assertTrue(self.local_upstream.confirmed)
+
+    def test_departure_is_confirmed(self) -> None:
+        self.local_upstream.deregister(READY_UPSTREAM.id, None)
+        self.assertTrue(self.local_upstream.confirmed)
+
+    def test_later_announcement_is_kept(self) -> None:
+        newer = replace(READY_UPSTREAM, sequence=6)
+        self.local_upstream.announce(newer, 1.0)
+        self.local_upstream.restore(READY_UPSTREAM, confirmed=False)
+        self.assertEqual(newer, self.local_upstream.current)
+        self.assertTrue(self.local_upstream.confirmed)
+
+
 class SilentUpstream(unittest.TestCase):
     """An upstream that stops announcing is silent until its next announcement."""
 
--- a/tests/relay/test_peer_handler.py
+++ b/tests/relay/test_peer_handler.py
@@ -7,7 +7,7 @@
 
 import orjson
 from lavenderway_relay.messages import Request, Response
-from lavenderway_relay.peer_client import STATE_TARGET, PeerClient
+from lavenderway_relay.peer_client import RECORD_TARGET, STATE_TARGET, PeerClient
 from lavenderway_relay.peer_handler import PeerRequestHandler
 from lavenderway_relay.records import decode_records
 from lavenderway_relay.revision import Revision
@@ -54,11 +54,20 @@
                 self.assertEqual([1, 2], reply["revision"])
                 self.assertEqual(records, decode_records(reply["hosts"]))
 
+    async def test_record_of_one_host(self) -> None:
+        for host, records in (("old", [OLD_RECORD]), ("unknown", [])):
+            with self.subTest(host=host):
+                response = await self.query(RECORD_TARGET, {"host": host})
+                reply = orjson.loads(response.body)
+                self.assertEqual(records, decode_records(reply["hosts"]))
+
     async def test_malformed_queries_are_refused(self) -> None:
         for target, payload in (
             (STATE_TARGET, {"config": 0, "revision": "x"}),
             (STATE_TARGET, {"config": 0, "revision": [1]}),
             (STATE_TARGET, {}),
+            (RECORD_TARGET, {}),
+            (RECORD_TARGET, {"host": []}),
         ):
             with self.subTest(target=target, payload=payload):
                 self.assertEqual(400, (await self.query(target, payload)).status)
--- a/tests/relay/test_sync.py
+++ b/tests/relay/test_sync.py
@@ -5,12 +5,12 @@
 import unittest
 from collections.abc import Callable
 from dataclasses import replace
-from typing import cast
+from typing import Any, cast
 
 from lavenderway_core.ids import FailureDomainId, ServiceId, UpstreamId
 from lavenderway_relay.model import Configuration, HostRecord, Upstream, UpstreamStatus
-from lavenderway_relay.peer_client import PeerClient
-from lavenderway_relay.records import decode_record, encode_record
+from lavenderway_relay.peer_client import RECORD_TARGET, PeerClient
+from lavenderway_relay.records import decode_record, encode_record, encode_records
 from lavenderway_relay.revision import NO_REVISION, Revision
 from lavenderway_relay.store import OutcomeUnknownError
 from lavenderway_relay.sync import (
@@ -56,10 +56,19 @@
 
 
 class ScriptedPeerClient:
-    """Client of peers that is never used, as the store answers."""
+    """Peer that knows records of the own host."""
 
     def __init__(self) -> None:
         self.on_newer_state: Callable[[HostRecord], None] = lambda _: None
+        self.records: list[HostRecord] = []
+        self.queries: list[bytes] = []
+
+    async def query(
+        self, record: HostRecord, target: bytes, payload: dict[str, Any]
+    ) -> dict[str, Any]:
+        assert (record.host, payload["host"]) == (PEER.host, OWN_HOST)
+        self.queries.append(target)
+        return {"hosts": encode_records(self.records)}
 
 
 class StateSyncCase(unittest.IsolatedAsyncioTestCase):
@@ -199,3 +208,48 @@
         with self.assertRaises(OutcomeUnknownError):
             await self.sync._store_own_record(make_own_record(READY))
         self.assertFalse(await self.sync.wait_until_published(0.01))
+
+
+class RestartedNodes(StateSyncCase):
+    """A node that restarts with a row of an older era doesn't rely on it."""
+
+    def restore_store(self, *records: HostRecord) -> None:
+        for record in records:
+            self.put_record(record)
+        self.store.restore(self.store.save_copy())
+
+    async def test_ready_upstream_has_to_announce_itself(self) -> None:
+        self.restore_store(make_own_record(READY))
+        await self.start()
+        await asyncio.sleep(0.05)
+        self.assertEqual(READY, self.state.local_upstream.current)
+        self.assertFalse(self.state.accepts_requests)
+        self.sync.publish()
+        await asyncio.sleep(0.05)
+        self.assertEqual(0, self.store.writes)
+        await self.announce(replace(READY, sequence=6))
+        self.assertTrue(self.state.accepts_requests)
+
+    async def test_departure_known_to_a_peer(self) -> None:
+        self.restore_store(make_own_record(READY), PEER)
+        self.peer_client.records = [make_own_record(LEAVING, Revision(0, 7))]
+        await self.start()
+        self.assertEqual([RECORD_TARGET], self.peer_client.queries)
+        self.assertEqual(LEAVING, self.state.local_upstream.current)
+        self.assertTrue(await self.sync.wait_until_published(1.0))
+        stored = self.find_stored()
+        assert stored is not None
+        self.assertEqual((LEAVING, 1), (stored.upstream, stored.revision.era))
+
+    async def test_delayed_announcement_before_the_store_is_read(self) -> None:
+        self.put_record(make_own_record(LEAVING))
+        self.state.local_upstream.announce(replace(READY, sequence=6), 0.0)
+        await self.start()
+        self.assertEqual(LEAVING, self.state.local_upstream.current)
+
+    async def test_row_of_the_present_era_is_relied_on(self) -> None:
+        self.restore_store(PEER)
+        self.put_record(make_own_record(READY, Revision(1, 0)))
+        await self.start()
+        self.assertTrue(self.state.accepts_requests)
+        self.assertEqual([], self.peer_client.queries)
