Keep a departure that arrives before the stored state is read

Cause: a deregistration that reached a restarted node before it had read its record was remembered only against later announcements. The record then made the upstream ready again, after the deregistration had been acknowledged.

Change: an upstream that has departed since the restart is restored as gone.

Measured: test_departure_before_the_stored_state_is_read failed before with "<UpstreamStatus.GONE: 'gone'> is not <UpstreamStatus.READY: 'ready'>", and passes now.

--- a/packages/lavenderway-relay/lavenderway_relay/announcements.py
+++ b/packages/lavenderway-relay/lavenderway_relay/announcements.py
@@ -14,6 +14,7 @@
     from lavenderway_relay.model import Upstream
 
 MAX_MISSED_ANNOUNCEMENTS = 4.0  # after more of them the upstream is treated as silent
+UNKNOWN_START_MS = 0  # start of an incarnation whose departure does not state it
 
 
 class AnnouncementEffect(Enum):
@@ -63,6 +64,10 @@
                 then has to announce itself, unless it is departing already.
 
         """
+        if upstream is not None and upstream.id in self._departed:
+            departed_ms = self._departed[upstream.id]
+            if departed_ms == UNKNOWN_START_MS or departed_ms >= upstream.started_ms:
+                upstream = replace(upstream, status=UpstreamStatus.GONE)
         known = self.current
         if known is not None and (
             upstream is None or not _is_outdated(known, upstream)
@@ -106,7 +111,7 @@
             if known is None or (
                 started_ms is not None and started_ms > known.started_ms
             ):
-                self._departed[upstream_id] = started_ms or 0
+                self._departed[upstream_id] = started_ms or UNKNOWN_START_MS
             return AnnouncementEffect.OUTDATED
         if started_ms is not None and started_ms < known.started_ms:
             return AnnouncementEffect.OUTDATED
--- a/tests/relay/test_announcements.py
+++ b/tests/relay/test_announcements.py
@@ -108,6 +108,15 @@
             AnnouncementEffect.OUTDATED, self.local_upstream.announce(late, 1.0)
         )
 
+    def test_departure_before_the_stored_state_is_read(self) -> None:
+        for started_ms in (None, 1000):
+            with self.subTest(started_ms=started_ms):
+                local_upstream = LocalUpstream(interval_s=1.0)
+                local_upstream.deregister(READY_UPSTREAM.id, started_ms)
+                local_upstream.restore(READY_UPSTREAM)
+                assert local_upstream.current is not None
+                self.assertIs(UpstreamStatus.GONE, local_upstream.current.status)
+
 
 class UnconfirmedUpstream(unittest.TestCase):
     """A ready upstream from an older copy of the store has to announce itself."""
