--- a/packages/lavenderway-relay/lavenderway_relay/announcements.py
+++ b/packages/lavenderway-relay/lavenderway_relay/announcements.py
@@ -14,6 +14,7 @@
     from lavenderway_relay.model import Upstream
 
 MAX_MISSED_ANNOUNCEMENTS = 4.0  # after more of them the upstream is treated as silent
+UNKNOWN_START_MS = 0  # start of an incarnation whose departure does not state it
 
 
 class AnnouncementEffect(Enum):
@@ -37,24 +38,45 @@
     Attributes:
         current: The upstream by its last announcement that took effect; None before
             the first.
-        silent: Whether too many announcements in a row were missed.
+        silent: Whether too many announcements in a row were missed, or none has been
+            received since an unconfirmed state was restored.
+        confirmed: False if `current` was restored from a record that may be out of
+            date.
 
     """
 
     def __init__(self, *, interval_s: float) -> None:
         self.current: Upstream | None = None
         self.silent = False
+        self.confirmed = True
         self._interval_s = interval_s
         self._last_announced_at: float | None = None
         self._departed: dict[UpstreamId, int] = {}
 
-    def restore(self, upstream: Upstream) -> None:
+    def restore(self, upstream: Upstream | None, *, confirmed: bool = True) -> None:
         """Set the upstream that was stored before the node restarted.
 
-        Has no effect if an upstream has been announced already.
+        Has no effect if an upstream has been announced since, unless it is outdated.
+
+        Args:
+            upstream: The stored upstream; None if there is none.
+            confirmed: False if the upstream may have announced its departure since; it
+                then has to announce itself, unless it is departing already.
+
         """
-        if self.current is None:
-            self.current = upstream
+        if upstream is not None and upstream.id in self._departed:
+            departed_ms = self._departed[upstream.id]
+            if departed_ms == UNKNOWN_START_MS or departed_ms >= upstream.started_ms:
+                upstream = replace(upstream, status=UpstreamStatus.GONE)
+        known = self.current
+        if known is not None and (
+            upstream is None or not _is_outdated(known, upstream)
+        ):
+            return
+        departing = upstream is not None and upstream.status is not UpstreamStatus.READY
+        self.current = upstream
+        self.confirmed = confirmed or departing
+        self.silent = not self.confirmed
 
     def announce(self, upstream: Upstream, now: float) -> AnnouncementEffect:
         """Apply an announcement."""
@@ -67,6 +89,7 @@
         self.current = upstream
         changed = known is None or self.silent or _has_changed(upstream, known)
         self.silent = False
+        self.confirmed = True
         return AnnouncementEffect.CHANGED if changed else AnnouncementEffect.REPEATED
 
     def deregister(
@@ -88,13 +111,14 @@
             if known is None or (
                 started_ms is not None and started_ms > known.started_ms
             ):
-                self._departed[upstream_id] = started_ms or 0
+                self._departed[upstream_id] = started_ms or UNKNOWN_START_MS
             return AnnouncementEffect.OUTDATED
         if started_ms is not None and started_ms < known.started_ms:
             return AnnouncementEffect.OUTDATED
         if known.status is UpstreamStatus.GONE:
             return AnnouncementEffect.REPEATED
         self._departed[upstream_id] = known.started_ms
+        self.confirmed = True
         self.current = replace(known, status=UpstreamStatus.GONE)
         return AnnouncementEffect.CHANGED
 
