Limit the size of responses and the bytes held of incomplete ones

Cause: a client connection limited only the body of one response, to 64 MiB. Everything else had no bound: status line, header lines, one header name or value (which httptools joins in quadratic time), empty lines, interim responses, responses to other requests, chunk sizes and extensions, trailers. Such a response lasted until the deadline of its request and grew in memory. Several bodies of up to 64 MiB exceed the memory limit of a node together. After a response, its idle connection kept the fragments of the body.

Change: `ResponseLimits` bounds the framing, the number of headers and the body of everything received for one request. `ResponseBudget` bounds the bytes of all incomplete responses; above it, the largest response fails. A response over a limit raises `ResponseLimitError`, a `ConnectionBrokenError`, so its outcome is unknown, and resets its connection. An announced body above the limit fails at its head. A connection frees the body with the response, and the parser with the connection. A limit error does not lower the idle limit of an address.

--- a/packages/lavenderway-relay/lavenderway_relay/client.py
+++ b/packages/lavenderway-relay/lavenderway_relay/client.py
@@ -1,7 +1,8 @@
 """HTTP/1.1 client connections, based on the parser of `httptools`.
 
 Used for other nodes, the upstream and the store. Responses are buffered whole, so that
-a truncated response is never passed on as a complete one.
+a truncated response is never passed on as a complete one. A response that exceeds a
+limit fails, and its connection is aborted.
 """
 
 from __future__ import annotations
@@ -18,11 +19,16 @@
     has_pending_error,
 )
 from lavenderway_relay.messages import BODYLESS_STATUSES, Response
+from lavenderway_relay.response_limits import (
+    DEFAULT_LIMITS,
+    ResponseBudget,
+    ResponseLimit,
+)
 
 if TYPE_CHECKING:
     from lavenderway_relay.messages import Headers
+    from lavenderway_relay.response_limits import ResponseLimits
 
-MAX_RESPONSE_BYTES = 67_108_864  # far above any response; limits a faulty upstream
 MIN_FINAL_STATUS = 200  # lower status codes mark interim responses
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
@@ -31,6 +37,19 @@
     """The connection ended or sent invalid data before a complete response."""
 
 
+class ResponseLimitError(ConnectionBrokenError):
+    """The response exceeded a limit.
+
+    Args:
+        limit: The exceeded limit.
+
+    """
+
+    def __init__(self, limit: ResponseLimit) -> None:
+        super().__init__(f"the response exceeded the {limit.value}")
+        self.limit = limit
+
+
 class ClientConnection(asyncio.Protocol):
     """One connection to a node, an upstream or the store; one request at a time.
 
@@ -40,6 +59,9 @@
             it does not. A response with another ID is discarded.
         unacknowledged_timeout_ms: Time after which a server that acknowledges no sent
             data is treated as lost, in milliseconds.
+        limits: Limits on each response.
+        budget: Limits the bytes that all connections of the process hold; None for
+            a budget of this connection alone.
 
     Attributes:
         broken: Whether the connection cannot carry another request.
@@ -51,14 +73,19 @@
     """
 
     __slots__ = (
+        "_announced_bytes",
         "_body",
+        "_body_bytes",
+        "_budget",
         "_ends_at_eof",
         "_expected_id",
         "_framed",
         "_head_only",
         "_headers",
         "_id_header",
+        "_limits",
         "_loop",
+        "_max_body_bytes",
         "_parser",
         "_received_bytes",
         "_status",
@@ -76,6 +103,8 @@
         loop: asyncio.AbstractEventLoop,
         id_header: bytes | None = None,
         unacknowledged_timeout_ms: int = UNACKNOWLEDGED_TIMEOUT_MS,
+        limits: ResponseLimits = DEFAULT_LIMITS,
+        budget: ResponseBudget | None = None,
     ) -> None:
         self._loop = loop
         self._id_header = id_header
@@ -85,8 +114,13 @@
         self._transport: asyncio.Transport
         self._waiter: asyncio.Future[Response] | None = None
         self._headers: Headers = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
+        self._limits = limits
+        self._budget = budget or ResponseBudget()
+        self._max_body_bytes = limits.body_bytes
         self._received_bytes = 0
+        self._body_bytes = 0
+        self._announced_bytes = 0
         self._status = 0
         self._head_only = False
         self._framed = False
@@ -103,7 +137,12 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the request in progress."""
         self.broken = True
-        self._fail("connection lost" if exc is None else str(exc))
+        self._fail(
+            ConnectionBrokenError("connection lost" if exc is None else str(exc))
+        )
+        # The parser refers to this object. Without the cycle, what the parser has
+        # received of a head is freed at once.
+        del self._parser
 
     def eof_received(self) -> bool:
         """Complete a response whose body is delimited by the end of the stream."""
@@ -117,15 +156,31 @@
         if self._waiter is None:
             self.abort()
             return
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self.broken = True
-            self._fail(f"expected an HTTP/1.1 response: {error}")
-            self._transport.abort()
+            self._break(
+                ConnectionBrokenError(f"expected an HTTP/1.1 response: {error}")
+            )
+            return
+        if self._waiter is not None:
+            self._check_incomplete_response(len(data))
+
+    def _check_incomplete_response(self, byte_count: int) -> None:
+        """Check the size of the framing and count the bytes of the last read."""
+        framing_bytes = self._received_bytes - self._body_bytes
+        if framing_bytes > self._limits.framing_bytes + self._body_bytes:
+            self.exceed_limit(ResponseLimit.FRAMING)
+        else:
+            self._budget.add(self, byte_count)
 
     async def exchange(
-        self, data: bytes, *, expected_id: bytes | None = None
+        self,
+        data: bytes,
+        *,
+        expected_id: bytes | None = None,
+        max_body_bytes: int | None = None,
     ) -> Response:
         """Send one encoded request and return its complete response.
 
@@ -133,8 +188,11 @@
             data: The encoded request.
             expected_id: ID that the response must repeat if it has the ID header; None
                 accepts any response.
+            max_body_bytes: Maximum size of the response body, in bytes; None for that
+                of the connection's limits.
 
         Raises:
+            ResponseLimitError: The response exceeded a limit.
             ConnectionBrokenError: No complete response was received. The request may
                 have been executed.
 
@@ -143,6 +201,11 @@
             raise ConnectionBrokenError("connection lost before the request was sent")
         self._expected_id = expected_id
         self._head_only = data.startswith(b"HEAD ")
+        self._max_body_bytes = (
+            self._limits.body_bytes if max_body_bytes is None else max_body_bytes
+        )
+        self._received_bytes = 0
+        self._body_bytes = 0
         waiter: asyncio.Future[Response] = self._loop.create_future()
         self._waiter = waiter
         self._transport.write(data)
@@ -155,41 +218,57 @@
     def abort(self) -> None:
         """Abort the connection with a TCP reset."""
         self.broken = True
+        self._drop_response()
         abort_with_reset(self._transport)
 
+    def exceed_limit(self, limit: ResponseLimit) -> None:
+        """Fail the request in progress and abort the connection."""
+        self._break(ResponseLimitError(limit))
+
     def on_message_begin(self) -> None:
         """Reset the parse state; a response to no request breaks the connection."""
         if self._waiter is None or self._waiter.done():
             self.broken = True
         self._headers = []
-        self._body = []
-        self._received_bytes = 0
+        self._body = bytearray()
+        self._announced_bytes = 0
         self._framed = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header under its lower-case name, and read framing and keep-alive."""
         name = name.lower()
         self._headers.append((name, value))
+        if len(self._headers) > self._limits.headers:
+            self._stop_parsing(ResponseLimit.HEADERS)
         if name in _FRAMING_HEADERS:
             self._framed = True
+            if name == b"content-length" and value.isdigit():
+                self._announced_bytes = int(value)
         elif name == b"keep-alive":
             self.keep_alive_s = _parse_keep_alive(value)
 
     def on_headers_complete(self) -> None:
-        """Determine how the end of the body is marked."""
+        """Determine how the end of the body is marked, and check its stated size."""
         self._status = self._parser.get_status_code()
         if self._status < MIN_FINAL_STATUS:
             return
         self._ends_at_eof = not self._framed and (self._status not in BODYLESS_STATUSES)
         if self._head_only:
             self._finish(reusable=False)
+        elif self._announced_bytes > self._max_body_bytes:
+            self._stop_parsing(ResponseLimit.BODY)
 
     def on_body(self, body: bytes) -> None:
-        """Append a fragment of the body, up to `MAX_RESPONSE_BYTES`."""
-        self._received_bytes += len(body)
-        if self._received_bytes > MAX_RESPONSE_BYTES:
-            raise httptools.HttpParserError("response body exceeds MAX_RESPONSE_BYTES")
-        self._body.append(body)
+        """Append a fragment of the body, up to the size limit."""
+        self._body_bytes += len(body)
+        if self._body_bytes > self._max_body_bytes:
+            self._stop_parsing(ResponseLimit.BODY)
+        self._body += body
+
+    def _stop_parsing(self, limit: ResponseLimit) -> None:
+        """Fail the response and make the parser skip the rest of the read bytes."""
+        self.exceed_limit(limit)
+        raise httptools.HttpParserError(limit.value)
 
     def on_message_complete(self) -> None:
         """Deliver a final response unless it is for another request."""
@@ -220,16 +299,29 @@
         response = Response(
             self._status,
             self._headers,
-            b"".join(self._body),
+            bytes(self._body),
             reusable and not unsent,
         )
+        self._drop_response()
         waiter.set_result(response)
 
-    def _fail(self, reason: str) -> None:
+    def _break(self, error: ConnectionBrokenError) -> None:
+        """Fail the request in progress with an error and abort the connection."""
+        self._fail(error)
+        self.abort()
+
+    def _fail(self, error: ConnectionBrokenError) -> None:
+        self._drop_response()
         waiter = self._waiter
         self._waiter = None
         if waiter is not None and not waiter.done():
-            waiter.set_exception(ConnectionBrokenError(reason))
+            waiter.set_exception(error)
+
+    def _drop_response(self) -> None:
+        """Free what this connection holds of a response."""
+        self._headers = []
+        self._body = bytearray()
+        self._budget.release(self)
 
 
 def _parse_keep_alive(value: bytes) -> float | None:
--- a/packages/lavenderway-relay/lavenderway_relay/pools.py
+++ b/packages/lavenderway-relay/lavenderway_relay/pools.py
@@ -6,11 +6,17 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from lavenderway_relay._sockets import UNACKNOWLEDGED_TIMEOUT_MS
-from lavenderway_relay.client import ClientConnection, ConnectionBrokenError
+from lavenderway_relay.client import (
+    ClientConnection,
+    ConnectionBrokenError,
+    ResponseLimitError,
+)
+from lavenderway_relay.response_limits import DEFAULT_LIMITS, ResponseBudget
 
 if TYPE_CHECKING:
     from lavenderway_relay.messages import Response
     from lavenderway_relay.model import Address
+    from lavenderway_relay.response_limits import ResponseLimits
 
 MAX_IDLE_PER_ADDRESS = 64
 MAX_IDLE_S = 10.0  # below the idle timeout of every listener of the fleet
@@ -42,6 +48,9 @@
             data is treated as lost, in milliseconds.
         id_header: Header in which servers repeat the ID of a request; None if they
             do not.
+        limits: Limits on each response.
+        budget: Limits the bytes that all connections of the process hold; None for
+            a budget of this pool alone.
 
     """
 
@@ -52,11 +61,15 @@
         connect_timeout_s: float,
         unacknowledged_timeout_ms: int = UNACKNOWLEDGED_TIMEOUT_MS,
         id_header: bytes | None = None,
+        limits: ResponseLimits = DEFAULT_LIMITS,
+        budget: ResponseBudget | None = None,
     ) -> None:
         self._loop = loop
         self._unacknowledged_timeout_ms = unacknowledged_timeout_ms
         self._connect_timeout_s = connect_timeout_s
         self._id_header = id_header
+        self._limits = limits
+        self._budget = budget or ResponseBudget()
         self._idle: dict[Address, list[ClientConnection]] = {}
         self._idle_limits: dict[Address, _IdleLimit] = {}
 
@@ -67,6 +80,7 @@
         *,
         expected_id: bytes | None = None,
         max_idle_s: float = MAX_IDLE_S,
+        max_body_bytes: int | None = None,
     ) -> Response:
         """Send one encoded request and return its response.
 
@@ -77,9 +91,13 @@
                 accepts any response.
             max_idle_s: Longest time for which a reused connection may have been
                 idle, in seconds.
+            max_body_bytes: Maximum size of the response body, in bytes; None for that
+                of the pool's limits.
 
         Raises:
             ConnectError: No connection could be established; nothing was sent.
+            ResponseLimitError: The response exceeded a limit. The request may have
+                been executed.
             ConnectionBrokenError: No complete response was received. The request may
                 have been executed.
 
@@ -91,7 +109,11 @@
         else:
             idle_s = self._loop.time() - connection.idle_since
         try:
-            response = await connection.exchange(data, expected_id=expected_id)
+            response = await connection.exchange(
+                data, expected_id=expected_id, max_body_bytes=max_body_bytes
+            )
+        except ResponseLimitError:
+            raise
         except ConnectionBrokenError:
             self._lower_idle_limit(address, idle_s)
             raise
@@ -182,6 +204,8 @@
                         loop=self._loop,
                         id_header=self._id_header,
                         unacknowledged_timeout_ms=self._unacknowledged_timeout_ms,
+                        limits=self._limits,
+                        budget=self._budget,
                     ),
                     address.ip,
                     address.port,
@@ -198,4 +222,9 @@
     return now - connection.idle_since <= limit_s
 
 
-__all__ = ["ConnectError", "ConnectionBrokenError", "ConnectionPool"]
+__all__ = [
+    "ConnectError",
+    "ConnectionBrokenError",
+    "ConnectionPool",
+    "ResponseLimitError",
+]
--- /dev/null
+++ b/packages/lavenderway-relay/lavenderway_relay/response_limits.py
@@ -0,0 +1,87 @@
+"""Limits on responses, which protect the process from servers that send without end."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+MAX_FRAMING_BYTES = 65_536  # far above any response head
+MAX_HEADERS = 1_000
+MAX_BODY_BYTES = 67_108_864  # far above any response body
+MAX_HELD_BYTES = 50_000_000  # of a process whose memory limit is not known
+# The rest is for complete responses, which are copied when they are encoded.
+HELD_FRACTION = 0.25
+
+
+class ResponseLimit(Enum):
+    """Limit that a response has exceeded."""
+
+    FRAMING = "framing_limit"
+    HEADERS = "headers_limit"
+    BODY = "body_limit"
+    MEMORY = "memory_limit"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ResponseLimits:
+    """Limits on everything that a server sends in response to one request.
+
+    Interim responses and discarded responses to other requests count as well.
+
+    Attributes:
+        framing_bytes: Maximum size of all that is not part of a body, in bytes: status
+            lines, headers, chunk sizes and extensions, trailers. Another byte is
+            allowed for each byte of the body, for the framing of small chunks.
+        headers: Maximum number of headers and trailers.
+        body_bytes: Maximum size of the body, in bytes.
+
+    """
+
+    framing_bytes: int = MAX_FRAMING_BYTES
+    headers: int = MAX_HEADERS
+    body_bytes: int = MAX_BODY_BYTES
+
+
+DEFAULT_LIMITS = ResponseLimits()
+
+
+class ResponseHolder(Protocol):
+    """Holds the received part of a response."""
+
+    def exceed_limit(self, limit: ResponseLimit) -> None:
+        """Fail the response, and free what has been received of it."""
+
+
+class ResponseBudget:
+    """Limits the bytes of incomplete responses that a process holds.
+
+    Args:
+        max_bytes: Maximum number of bytes held.
+
+    Attributes:
+        held_bytes: Number of bytes held at present.
+
+    """
+
+    def __init__(self, *, max_bytes: int = MAX_HELD_BYTES) -> None:
+        self._max_bytes = max_bytes
+        self._held_by: dict[ResponseHolder, int] = {}
+        self.held_bytes = 0
+
+    def add(self, holder: ResponseHolder, byte_count: int) -> None:
+        """Count received bytes; above the maximum, fail the largest response.
+
+        Many responses exceed the maximum only together. Failing the largest one
+        spares those of servers that are not at fault.
+        """
+        self._held_by[holder] = self._held_by.get(holder, 0) + byte_count
+        self.held_bytes += byte_count
+        while self.held_bytes > self._max_bytes:
+            largest = max(self._held_by, key=self._held_by.__getitem__)
+            self.release(largest)
+            largest.exceed_limit(ResponseLimit.MEMORY)
+
+    def release(self, holder: ResponseHolder) -> None:
+        """Stop counting the bytes of a response that is complete or has failed."""
+        self.held_bytes -= self._held_by.pop(holder, 0)
