--- a/tests/platform_adapter/test_store.py
+++ b/tests/platform_adapter/test_store.py
@@ -4,14 +4,16 @@
 import unittest
 
 import orjson
+from lavenderway_dev.endless_server import EndlessServer
 from lavenderway_dev.store_standin import allocate_port
-from lavenderway_platform.store import PlatformStore
+from lavenderway_platform.store import CALL_TIMEOUT_S, PlatformStore
 from lavenderway_relay.messages import Request, Response
 from lavenderway_relay.model import Address
 from lavenderway_relay.refusals import refuse_malformed_input
 from lavenderway_relay.server import HttpServer
 from lavenderway_relay.store import OutcomeUnknownError
 
+ENDLESS_HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
 VALID_ROW = {"table": "t", "part": "", "key": "good", "ver": 3, "value": "Z29vZA=="}
 
 
@@ -68,3 +70,31 @@
         for body in bodies:
             with self.subTest(body=body), self.assertRaises(OutcomeUnknownError):
                 await self.follow_once(body)
+
+
+class EndlessStore(unittest.IsolatedAsyncioTestCase):
+    """A store that sends without end holds a call no longer than its timeout."""
+
+    async def read_from(self, server: EndlessServer) -> float:
+        """Read a table from a faulty store; return how long the failure took."""
+        loop = asyncio.get_running_loop()
+        address = Address("127.0.0.1", allocate_port())
+        listener = await server.start(address)
+        self.addCleanup(listener.close)
+        started = loop.time()
+        with self.assertRaises(OutcomeUnknownError):
+            await PlatformStore(address=address, loop=loop).read_table("t")
+        elapsed_s = loop.time() - started
+        async with asyncio.timeout(1.0):
+            while server.closed < server.connections:
+                await asyncio.sleep(0.01)
+        return elapsed_s
+
+    async def test_endless_body_is_cut_off(self) -> None:
+        server = EndlessServer(prefix=ENDLESS_HEAD, piece=b" " * 65_536)
+        self.assertLess(await self.read_from(server), 1.0)
+        self.assertLess(server.sent_bytes, 16_000_000)
+
+    async def test_trickled_body_ends_with_the_timeout(self) -> None:
+        server = EndlessServer(prefix=ENDLESS_HEAD, piece=b" ", interval_s=0.05)
+        self.assertLess(await self.read_from(server), CALL_TIMEOUT_S + 0.5)
