Cut off endless responses of upstreams and peers within a node's memory

The node beside the upstream relied on the entry node to cancel a run at its deadline: while the entry node was frozen, a trickled response held its run and its concurrency slot without end.

Change: the connections to the upstream and to peers share a budget of a quarter of the memory limit, which the settings state as `memory-mb`. Queries to peers accept replies of up to 4 MiB. The limits towards peers are wider than those towards the upstream, as a node adds headers to its upstream's response. A host is not marked unreachable because the memory of this node is used up. The log and the counters of failures name the exceeded limit. A run ends 0.25 s after its deadline by itself.

--- a/packages/lavenderway-dev/lavenderway_dev/relay_fleet.py
+++ b/packages/lavenderway-dev/lavenderway_dev/relay_fleet.py
@@ -29,6 +29,7 @@
 POLL_INTERVAL_S = 0.05
 LOOPBACK = "127.0.0.1"
 STOP_GRACE_S = 6
+MEMORY_LIMIT_MB = 200
 
 
 @dataclass(kw_only=True)
@@ -109,6 +110,13 @@
                 stderr=log,
             )
 
+    def read_peak_memory_mb(self) -> float:
+        """Return the peak resident memory of the node process, in megabytes."""
+        assert self.process is not None
+        status = Path(f"/proc/{self.process.pid}/status").read_text(encoding="ascii")
+        (line,) = [each for each in status.splitlines() if each.startswith("VmHWM:")]
+        return int(line.split()[1]) * 1024 / 1e6
+
     def rewrite_settings(self, old: str, new: str) -> None:
         """Replace a text in the settings file while the node is running."""
         text = self._settings_path.read_text(encoding="utf-8")
@@ -142,6 +150,8 @@
 advertised = "{self.advertised_peers}"
 readiness = "{self.readiness}"
 control-plane = "{self.control}"
+[limits]
+memory-mb = {MEMORY_LIMIT_MB}
 [bounds]
 grace = "{STOP_GRACE_S}s"
 retry-budget-ratio = 0.2
--- a/packages/lavenderway-dev/lavenderway_dev/server_standin.py
+++ b/packages/lavenderway-dev/lavenderway_dev/server_standin.py
@@ -19,6 +19,8 @@
 
     from lavenderway_relay.model import Address
 
+    from lavenderway_dev.endless_server import EndlessServer
+
 REQUEST_ID = b"lavenderway-attempt-id"
 CALL_TIMEOUT_S = 5.0
 
@@ -118,6 +120,7 @@
             loop=loop, serve=self._serve, refuse=refuse_malformed_input
         )
         self._heartbeat_task: asyncio.Task[None] | None = None
+        self._replacement: asyncio.Server | None = None
 
     async def start(self, *, interval_s: float = 0.3) -> None:
         """Start listening and sending heartbeats."""
@@ -126,10 +129,20 @@
             self._send_heartbeats(interval_s)
         )
 
+    async def replace_listener(self, replacement: EndlessServer) -> None:
+        """Send bytes without end from now on, in place of all responses."""
+        self._close_listener()
+        self._replacement = await replacement.start(self.address)
+
     def stop(self) -> None:
         """Stop heartbeats and abort all connections."""
         if self._heartbeat_task is not None:
             self._heartbeat_task.cancel()
+        self._close_listener()
+        if self._replacement is not None:
+            self._replacement.close()
+
+    def _close_listener(self) -> None:
         self._listener.close()
         for connection in tuple(self._listener.connections):
             connection.abort()
--- a/packages/lavenderway-relay/lavenderway_relay/client.py
+++ b/packages/lavenderway-relay/lavenderway_relay/client.py
@@ -46,7 +46,7 @@
     """
 
     def __init__(self, limit: ResponseLimit) -> None:
-        super().__init__(f"the response exceeded the {limit.value}")
+        super().__init__(f"the response exceeded its {limit.value.replace('_', ' ')}")
         self.limit = limit
 
 
--- a/packages/lavenderway-relay/lavenderway_relay/model.py
+++ b/packages/lavenderway-relay/lavenderway_relay/model.py
@@ -236,6 +236,7 @@
         retry_budget_ratio: Retry budget of the fleet, as retries per request.
         retry_budget_slack: Retries that the fleet may send in excess of that ratio, in
             any period of time.
+        memory_bytes: Memory limit of the process, in bytes; None if it is not known.
 
     """
 
@@ -250,3 +251,4 @@
     extra_burst: float = 0.0
     retry_budget_ratio: float = 0.05
     retry_budget_slack: float = 0.0
+    memory_bytes: int | None = None
--- a/packages/lavenderway-relay/lavenderway_relay/peer_client.py
+++ b/packages/lavenderway-relay/lavenderway_relay/peer_client.py
@@ -20,8 +20,19 @@
     encode_hop_request,
 )
 from lavenderway_relay.messages import Request, encode_request, strip_headers
-from lavenderway_relay.pools import ConnectError, ConnectionBrokenError, ConnectionPool
+from lavenderway_relay.pools import (
+    ConnectError,
+    ConnectionBrokenError,
+    ConnectionPool,
+    ResponseLimitError,
+)
 from lavenderway_relay.quota import MIN_LOAN_TOKENS
+from lavenderway_relay.response_limits import (
+    MAX_FRAMING_BYTES,
+    MAX_HEADERS,
+    ResponseLimit,
+    ResponseLimits,
+)
 from lavenderway_relay.upstream_runner import UpstreamResult
 
 if TYPE_CHECKING:
@@ -38,6 +49,11 @@
 CONNECT_TIMEOUT_S = 0.3  # many times the round trip between failure domains
 QUERY_TIMEOUT_S = 0.3  # nodes respond to queries from memory
 BORROW_TIMEOUT_S = 0.1  # bounds the delay of a rate limit refusal
+# A node adds headers to a response of its upstream that is just within the limits.
+PEER_RESPONSE_LIMITS = ResponseLimits(
+    framing_bytes=2 * MAX_FRAMING_BYTES, headers=2 * MAX_HEADERS
+)
+MAX_REPLY_BYTES = 4_194_304  # decoding a reply takes many times its size in memory
 TOKENS_TARGET = b"/lavenderway/tokens"
 STATE_TARGET = b"/lavenderway/state"
 
@@ -73,7 +89,12 @@
         self._upstream_runner = upstream_runner
         self._loop = loop
         self._random = random
-        self._pool = ConnectionPool(loop=loop, connect_timeout_s=CONNECT_TIMEOUT_S)
+        self._pool = ConnectionPool(
+            loop=loop,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+            limits=PEER_RESPONSE_LIMITS,
+            budget=state.response_budget,
+        )
         self._borrow_tasks: dict[WorkspaceId, asyncio.Task[None]] = {}
         self.on_newer_state: Callable[[HostRecord], None] = lambda _: None
 
@@ -100,7 +121,7 @@
             self._mark_unreachable(record, error)
             return UpstreamResult(_NO_HOP_RESPONSE, None)
         except ConnectionBrokenError as error:
-            self._mark_unreachable(record, error)
+            self._record_broken_connection(record, error)
             unknown_hop_response = _NO_HOP_RESPONSE._replace(
                 outcome=Outcome.UNKNOWN, arrived=True
             )
@@ -159,7 +180,9 @@
         try:
             async with asyncio.timeout(QUERY_TIMEOUT_S):
                 response = await self._pool.exchange(
-                    record.address, encode_request(request)
+                    record.address,
+                    encode_request(request),
+                    max_body_bytes=MAX_REPLY_BYTES,
                 )
             reply = orjson.loads(response.body)
         except (TimeoutError, ConnectError, ConnectionBrokenError, ValueError) as error:
@@ -229,6 +252,19 @@
         headers.append((HOP_HEADER, encode_hop_request(hop_request)))
         return Request(request.method, request.target, headers, request.body)
 
+    def _record_broken_connection(
+        self, record: HostRecord, error: ConnectionBrokenError
+    ) -> None:
+        """Mark a host as unreachable unless its upstream has caused the failure."""
+        if not isinstance(error, ResponseLimitError):
+            self._mark_unreachable(record, error)
+            return
+        event = f"peer.{error.limit.value}"
+        self._state.metrics.count("peer_failures", event=event)
+        self._state.log.failure(event, self._loop.time(), peer=record.host)
+        if error.limit is not ResponseLimit.MEMORY:
+            self._mark_unreachable(record, error)
+
     def _mark_unreachable(self, record: HostRecord, error: Exception) -> None:
         now = self._loop.time()
         if self._state.lag_s > QUERY_TIMEOUT_S / 3:
--- a/packages/lavenderway-relay/lavenderway_relay/state.py
+++ b/packages/lavenderway-relay/lavenderway_relay/state.py
@@ -9,6 +9,11 @@
 from lavenderway_relay.host_registry import HostRegistry
 from lavenderway_relay.metrics import Metrics
 from lavenderway_relay.model import Limits, UpstreamStatus
+from lavenderway_relay.response_limits import (
+    HELD_FRACTION,
+    MAX_HELD_BYTES,
+    ResponseBudget,
+)
 from lavenderway_relay.routing import RouteTable, WeightedRoundRobin
 from lavenderway_relay.running_requests import RunningRequests
 from lavenderway_relay.tasks import BackgroundTasks
@@ -51,6 +56,7 @@
         started_ms: Wall-clock start of the process, in milliseconds.
         lag_s: Delay of the event loop's timers, in seconds.
         tasks: Background tasks of the node.
+        response_budget: Limits the bytes of incomplete responses that the node holds.
 
     """
 
@@ -72,10 +78,17 @@
     started_ms: int = 0
     lag_s: float = 0.0
     tasks: BackgroundTasks = field(init=False)
+    response_budget: ResponseBudget = field(init=False)
 
     def __post_init__(self) -> None:
-        """Create the background task set, which logs to the node's log."""
+        """Create the components that depend on the log or the settings."""
         self.tasks = BackgroundTasks(log=self.log)
+        memory_bytes = self.settings.memory_bytes
+        self.response_budget = ResponseBudget(
+            max_bytes=MAX_HELD_BYTES
+            if memory_bytes is None
+            else int(memory_bytes * HELD_FRACTION)
+        )
 
     @property
     def config_version(self) -> int:
--- a/packages/lavenderway-relay/lavenderway_relay/upstream_runner.py
+++ b/packages/lavenderway-relay/lavenderway_relay/upstream_runner.py
@@ -21,6 +21,7 @@
     ConnectError,
     ConnectionBrokenError,
     ConnectionPool,
+    ResponseLimitError,
 )
 from lavenderway_relay.response_classifier import ResponseKind, classify_response
 from lavenderway_relay.running_requests import RunningRequest
@@ -44,6 +45,8 @@
 # silently drop connections that have been idle for 0.3 s.
 AT_MOST_ONCE_MAX_IDLE_S = 0.2
 MIN_TIME_LEFT_S = 0.002  # a request with less time left is not sent
+# Time after the deadline at which a run ends if the entry node has not cancelled it.
+CANCELLATION_MARGIN_S = 0.25
 
 
 class UpstreamResult(NamedTuple):
@@ -310,18 +313,25 @@
         )
         self._state.running_requests.begin(request_id, running)
         try:
-            response = await self._pool.exchange(
-                upstream.address,
-                data,
-                expected_id=request_id,
-                max_idle_s=MAX_IDLE_S
-                if hop_request.idempotent
-                else AT_MOST_ONCE_MAX_IDLE_S,
-            )
+            async with asyncio.timeout_at(deadline + CANCELLATION_MARGIN_S):
+                response = await self._pool.exchange(
+                    upstream.address,
+                    data,
+                    expected_id=request_id,
+                    max_idle_s=MAX_IDLE_S
+                    if hop_request.idempotent
+                    else AT_MOST_ONCE_MAX_IDLE_S,
+                )
         except ConnectError as error:
             self._back_off(self._loop.time())
             self._log_failure("upstream.unreachable", request_id, error)
             return self._refused(Outcome.ABSENT)
+        except ResponseLimitError as error:
+            self._log_failure(f"upstream.{error.limit.value}", request_id, error)
+            return self._build_result(Outcome.UNKNOWN, None, running, arrived=True)
+        except TimeoutError:
+            self._log_failure("upstream.overdue", request_id, None)
+            return self._build_result(Outcome.UNKNOWN, None, running, arrived=True)
         except ConnectionBrokenError as error:
             self._log_failure("upstream.broken", request_id, error)
             return self._build_result(Outcome.UNKNOWN, None, running, arrived=True)
@@ -424,6 +434,7 @@
             connect_timeout_s=CONNECT_TIMEOUT_S,
             unacknowledged_timeout_ms=UNACKNOWLEDGED_TIMEOUT_MS,
             id_header=self._state.header_names.request_id,
+            budget=self._state.response_budget,
         )
 
 
--- a/tests/platform_adapter/test_decoding.py
+++ b/tests/platform_adapter/test_decoding.py
@@ -121,6 +121,7 @@
 
     def test_error_lists_every_invalid_value(self) -> None:
         text = 'zone = 3\n[listen]\ninbound = "nowhere"\n[bounds]\ngrace = "soon"\n'
+        text += '[limits]\nmemory-mb = "much"\n'
         self.path.write_text(text, encoding="utf-8")
         with self.assertRaises(SettingsError) as caught:
             self.file.read()
@@ -131,6 +132,7 @@
             "listen.inbound",
             "listen.readiness",
             "bounds.grace",
+            "limits.memory-mb",
             "platform",
         ):
             self.assertIn(f"{self.path}: {key_path}", message)
