--- a/packages/lavenderway-node/lavenderway_node/table_client.py
+++ b/packages/lavenderway-node/lavenderway_node/table_client.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import secrets
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -28,6 +29,7 @@
 
 READ_BACK_ATTEMPTS = 3
 READ_BACK_BACKOFF_S = 0.1
+MAX_RESPONSE_BYTES = 16_777_216  # decoding takes many times its size in memory
 WRITE_ID_FIELD = "write"
 
 
@@ -163,11 +165,28 @@
             async with self._session.request(
                 method, self._url + path, **arguments
             ) as response:
-                return Success((response.status, await response.json()))
+                return Success(
+                    (response.status, json.loads(await _read_body(response)))
+                )
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             return Failure(TableError(type(error).__name__))
 
 
+async def _read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Return the body of a response.
+
+    Raises:
+        aiohttp.ClientPayloadError: The body exceeds `MAX_RESPONSE_BYTES`.
+
+    """
+    body = bytearray()
+    async for data in response.content.iter_any():
+        body += data
+        if len(body) > MAX_RESPONSE_BYTES:
+            raise aiohttp.ClientPayloadError("response body exceeds the size limit")
+    return bytes(body)
+
+
 def _add_write_ids(writes: Sequence[Write]) -> list[Write]:
     write_id = secrets.token_hex(8)
     tagged_writes = []
--- a/tests/node/test_table_client.py
+++ b/tests/node/test_table_client.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
 from aiohttp import web
 from lavenderway_core.table import ABSENT, Condition, TransactOutcome, Write
+from lavenderway_dev.endless_server import EndlessServer
 from lavenderway_dev.platform_standin import PlatformStandIn
-from lavenderway_node.table_client import TableClient
+from lavenderway_dev.store_standin import allocate_port
+from lavenderway_node.table_client import MAX_RESPONSE_BYTES, TableClient
+from lavenderway_relay.model import Address
 from returns.result import Failure
 
 TIMEOUT_S = 1.0
@@ -85,3 +89,25 @@
         since = min(row.version for row in first.rows)
         second = (await self.client.read("", since)).unwrap()
         self.assertEqual(["b"], [row.key for row in second.rows])
+
+
+class EndlessTable(unittest.IsolatedAsyncioTestCase):
+    """A table service that sends without end is cut off at a size limit."""
+
+    async def test_endless_body_is_cut_off(self) -> None:
+        server = EndlessServer(
+            prefix=b"HTTP/1.1 200 OK\r\n\r\n",
+            piece=b" " * 65_536,
+            max_bytes=100_000_000,
+        )
+        address = Address("127.0.0.1", allocate_port())
+        listener = await server.start(address)
+        self.addCleanup(listener.close)
+        client = TableClient(url=f"http://{address}", timeout_s=TIMEOUT_S)
+        await client.open()
+        self.addAsyncCleanup(client.close)
+        self.assertIsInstance(await client.read("a"), Failure)
+        async with asyncio.timeout(TIMEOUT_S):
+            while server.closed < server.connections:
+                await asyncio.sleep(0.01)
+        self.assertLess(server.sent_bytes, 2 * MAX_RESPONSE_BYTES)
