Limit the size of a response to the command line

Cause: the API client read a response whole, for up to 15 s.

Change: a response may have 16 MiB; a larger one is an error.

Result: tests.cli.test_client failed before with `TimeoutError` after 2 s and passes now.

--- a/packages/lavenderway-cli/lavenderway_cli/client.py
+++ b/packages/lavenderway-cli/lavenderway_cli/client.py
@@ -13,6 +13,7 @@
 
 REQUEST_TIMEOUT_S = 15.0
 MAX_WRITE_ATTEMPTS = 3
+MAX_RESPONSE_BYTES = 16_777_216  # far above any document
 WRITE_ID_HEADER = "Lavenderway-Write-Id"
 
 
@@ -117,7 +118,7 @@
                     method, self._url + path, headers=headers, json=body
                 ) as response,
             ):
-                document = await response.json(content_type=None)
+                document = json.loads(await _read_body(response))
                 if response.status < 300:
                     return Success(document)
                 title = str(document.get("title", response.reason))
@@ -129,6 +130,23 @@
             return Failure(ApiError(0, message, {}))
 
 
+async def _read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Return the body of a response.
+
+    Raises:
+        aiohttp.ClientPayloadError: The body exceeds `MAX_RESPONSE_BYTES`.
+
+    """
+    body = bytearray()
+    async for data in response.content.iter_any():
+        body += data
+        if len(body) > MAX_RESPONSE_BYTES:
+            raise aiohttp.ClientPayloadError(
+                f"the response exceeds {MAX_RESPONSE_BYTES} bytes"
+            )
+    return bytes(body)
+
+
 def _is_retryable(result: Result[dict[str, Any], ApiError]) -> bool:
     """Return whether a call got no valid response or the status 503.
 
