Refuse requests whose chunk extensions or trailers have no end

Cause: after the head of a request, the server limited only its body.

Change: the framing of a body may exceed its 16-fold by the size limit of a head. One-byte chunks stay accepted up to the size limit of a body.

--- a/packages/lavenderway-relay/lavenderway_relay/server.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server.py
@@ -27,6 +27,8 @@
 
 MAX_PIPELINED_REQUESTS = 64  # per connection; reading pauses at this number
 DISCONNECT_CHECK_DELAY_S = 0.001  # any positive delay lets the loop read the socket
+# Allowed for the sizes and extensions of chunks; one byte in a chunk needs 5 of them.
+MAX_FRAMING_PER_BODY_BYTE = 16
 HEADER_OVERHEAD_BYTES = 4  # colon, space, CR and LF
 
 
@@ -60,6 +62,7 @@
         "_body_bytes",
         "_discarding",
         "_expects_continue",
+        "_framing_bytes",
         "_head_bytes",
         "_headers",
         "_in_message",
@@ -87,6 +90,7 @@
         self._target = b""
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._framing_bytes = 0
         self._head_bytes = 0
         self._partial_head_bytes = 0
         self._expects_continue = False
@@ -148,7 +152,7 @@
         if self._discarding:
             return
         try:
-            self._parser.feed_data(data)
+            self._feed(data)
         except httptools.HttpParserUpgrade:
             self._refuse(HTTPStatus.BAD_REQUEST)
         except httptools.HttpParserError:
@@ -157,6 +161,18 @@
             if self.message_since is not None:
                 self._check_partial_head_size(len(data))
 
+    def _feed(self, data: bytes) -> None:
+        """Parse received bytes, and check the size of the framing of a body."""
+        headers, body_bytes = self._headers, self._body_bytes
+        reads_body = self._in_message and not self.reading_head
+        self._parser.feed_data(data)
+        if not reads_body or not self._in_message or self._headers is not headers:
+            return
+        self._framing_bytes += len(data) - (self._body_bytes - body_bytes)
+        allowed_bytes = self._body_bytes * MAX_FRAMING_PER_BODY_BYTE
+        if self._framing_bytes > self._server.limits().head_bytes + allowed_bytes:
+            self._stop_parsing(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+
     def _check_partial_head_size(self, byte_count: int) -> None:
         """Refuse a head that exceeds the size limit before it is complete."""
         self._partial_head_bytes += byte_count
@@ -169,6 +185,7 @@
         self._target = b""
         self._body = []
         self._body_bytes = 0
+        self._framing_bytes = 0
         self._head_bytes = 0
         self._partial_head_bytes = 0
         self._expects_continue = False
