Keep endless small chunks from blocking the event loop

Cause: after a read, uvloop reads the same connection again, up to 32 times 256 KB in a row, while parsing chunks of 5 bytes takes some 5 ms per read. With 8 such connections, the event loop was late by 1249 ms. Interim responses and responses to other requests were bounded only by the check after a read: 172 ms.

Change: after a read of 64 KiB or more of an incomplete response, a connection pauses until the other tasks have run once. More than 100 interim or foreign responses to one request fail it.

LargeReads.test_connection_pauses_after_a_large_read fails without the pause with "True is not false".

--- a/packages/lavenderway-dev/lavenderway_dev/endless_server.py
+++ b/packages/lavenderway-dev/lavenderway_dev/endless_server.py
@@ -58,7 +58,10 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+        # The end of a test cancels this task while the client is still connected.
+        with contextlib.suppress(
+            ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError
+        ):
             if self._reads_request:
                 self.request_heads.append(await reader.readuntil(b"\r\n\r\n"))
             writer.write(self._prefix)
--- a/packages/lavenderway-relay/lavenderway_relay/client.py
+++ b/packages/lavenderway-relay/lavenderway_relay/client.py
@@ -29,6 +29,9 @@
     from lavenderway_relay.messages import Headers
     from lavenderway_relay.response_limits import ResponseLimits
 
+# After a larger read, the connection is not read again before the other tasks have run.
+# uvloop would read up to 32 times in a row.
+LARGE_READ_BYTES = 65_536
 MIN_FINAL_STATUS = 200  # lower status codes mark interim responses
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
@@ -88,6 +91,7 @@
         "_max_body_bytes",
         "_parser",
         "_received_bytes",
+        "_skipped_responses",
         "_status",
         "_transport",
         "_unacknowledged_timeout_ms",
@@ -121,6 +125,7 @@
         self._received_bytes = 0
         self._body_bytes = 0
         self._announced_bytes = 0
+        self._skipped_responses = 0
         self._status = 0
         self._head_only = False
         self._framed = False
@@ -172,8 +177,15 @@
         framing_bytes = self._received_bytes - self._body_bytes
         if framing_bytes > self._limits.framing_bytes + self._body_bytes:
             self.exceed_limit(ResponseLimit.FRAMING)
-        else:
-            self._budget.add(self, byte_count)
+            return
+        self._budget.add(self, byte_count)
+        if byte_count >= LARGE_READ_BYTES and not self._transport.is_closing():
+            self._transport.pause_reading()
+            self._loop.call_soon(self._resume_reading)
+
+    def _resume_reading(self) -> None:
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
 
     async def exchange(
         self,
@@ -206,6 +218,7 @@
         )
         self._received_bytes = 0
         self._body_bytes = 0
+        self._skipped_responses = 0
         waiter: asyncio.Future[Response] = self._loop.create_future()
         self._waiter = waiter
         self._transport.write(data)
@@ -272,9 +285,10 @@
 
     def on_message_complete(self) -> None:
         """Deliver a final response unless it is for another request."""
-        if self._status < MIN_FINAL_STATUS:
-            return
-        if self._is_for_other_request():
+        if self._status < MIN_FINAL_STATUS or self._is_for_other_request():
+            self._skipped_responses += 1
+            if self._skipped_responses > self._limits.skipped_responses:
+                self._stop_parsing(ResponseLimit.SKIPPED)
             return
         self._finish(reusable=self._parser.should_keep_alive())
 
--- a/packages/lavenderway-relay/lavenderway_relay/response_limits.py
+++ b/packages/lavenderway-relay/lavenderway_relay/response_limits.py
@@ -8,6 +8,7 @@
 
 MAX_FRAMING_BYTES = 65_536  # far above any response head
 MAX_HEADERS = 1_000
+MAX_SKIPPED_RESPONSES = 100
 MAX_BODY_BYTES = 67_108_864  # far above any response body
 MAX_HELD_BYTES = 50_000_000  # of a process whose memory limit is not known
 # The rest is for complete responses, which are copied when they are encoded.
@@ -19,6 +20,7 @@
 
     FRAMING = "framing_limit"
     HEADERS = "headers_limit"
+    SKIPPED = "skipped_responses_limit"
     BODY = "body_limit"
     MEMORY = "memory_limit"
 
@@ -34,12 +36,15 @@
             lines, headers, chunk sizes and extensions, trailers. Another byte is
             allowed for each byte of the body, for the framing of small chunks.
         headers: Maximum number of headers and trailers.
+        skipped_responses: Maximum number of interim responses and of discarded
+            responses to other requests.
         body_bytes: Maximum size of the body, in bytes.
 
     """
 
     framing_bytes: int = MAX_FRAMING_BYTES
     headers: int = MAX_HEADERS
+    skipped_responses: int = MAX_SKIPPED_RESPONSES
     body_bytes: int = MAX_BODY_BYTES
 
 
--- a/packages/lavenderway-relay/lavenderway_relay/server.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server.py
@@ -27,9 +27,9 @@
 
 MAX_PIPELINED_REQUESTS = 64  # per connection; reading pauses at this number
 DISCONNECT_CHECK_DELAY_S = 0.001  # any positive delay lets the loop read the socket
+HEADER_OVERHEAD_BYTES = 4  # colon, space, CR and LF
 # Allowed for the sizes and extensions of chunks; one byte in a chunk needs 5 of them.
 MAX_FRAMING_PER_BODY_BYTE = 16
-HEADER_OVERHEAD_BYTES = 4  # colon, space, CR and LF
 
 
 class _PendingRequest:
--- a/tests/relay/test_endless_responses.py
+++ b/tests/relay/test_endless_responses.py
@@ -7,6 +7,7 @@
 
 from lavenderway_dev.endless_server import MAX_SENT_BYTES, EndlessServer
 from lavenderway_dev.store_standin import allocate_port
+from lavenderway_relay.client import ClientConnection
 from lavenderway_relay.messages import Request, Response, encode_request
 from lavenderway_relay.model import Address
 from lavenderway_relay.pools import (
@@ -130,6 +131,29 @@
         await self.assert_cut_off(CHUNKED_HEAD + b"0\r\n", b"a: b\r\n")
 
 
+class LargeReads(EndlessServerCase):
+    """Other tasks run between two large reads of a connection.
+
+    uvloop reads many times in a row, and parsing small chunks would block it meanwhile.
+    """
+
+    async def test_connection_pauses_after_a_large_read(self) -> None:
+        await self.start()
+        loop = asyncio.get_running_loop()
+        transport, connection = await loop.create_connection(
+            lambda: ClientConnection(loop=loop), *self.address
+        )
+        self.addCleanup(transport.abort)
+        exchange = asyncio.create_task(connection.exchange(b"GET / HTTP/1.1\r\n\r\n"))
+        await asyncio.sleep(0)
+        connection.data_received(CHUNKED_HEAD + b"5\r\naaaaa\r\n" * 10_000)
+        self.assertFalse(transport.is_reading())
+        await asyncio.sleep(0)
+        self.assertTrue(transport.is_reading())
+        connection.data_received(b"0\r\n\r\n")
+        self.assertEqual(50_000, len((await exchange).body))
+
+
 class UnsolicitedBytes(EndlessServerCase):
     """Bytes that no request waits for close the connection at once."""
 
