--- a/packages/lavenderway-relay/lavenderway_relay/server.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server.py
@@ -35,6 +35,8 @@
 LINGER_TIMEOUT_S = 1.0  # for the client to close after its last response
 HEADER_OVERHEAD_BYTES = 4  # colon, space, CR and LF
 FIRST_REQUEST_DELAY_S = 0.2  # a new connection's first request arrives within this time
+# Allowed for the sizes and extensions of chunks; one byte in a chunk needs 5 of them.
+MAX_FRAMING_PER_BODY_BYTE = 16
 
 
 class _PendingRequest:
@@ -67,6 +69,7 @@
         "_body_bytes",
         "_discarding",
         "_expects_continue",
+        "_framing_bytes",
         "_head_bytes",
         "_headers",
         "_in_message",
@@ -96,6 +99,7 @@
         self._target = b""
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._framing_bytes = 0
         self._head_bytes = 0
         self._partial_head_bytes = 0
         self._expects_continue = False
@@ -172,7 +176,7 @@
             return
         self._message_completed = False
         try:
-            self._parser.feed_data(data)
+            self._feed(data)
         except httptools.HttpParserUpgrade:
             self._refuse(HTTPStatus.BAD_REQUEST)
         except httptools.HttpParserError:
@@ -183,6 +187,18 @@
             if self.message_since is not None and not self._message_completed:
                 self._check_partial_head_size(len(data))
 
+    def _feed(self, data: bytes) -> None:
+        """Parse received bytes, and check the size of the framing of a body."""
+        headers, body_bytes = self._headers, self._body_bytes
+        reads_body = self._in_message and not self.reading_head
+        self._parser.feed_data(data)
+        if not reads_body or not self._in_message or self._headers is not headers:
+            return
+        self._framing_bytes += len(data) - (self._body_bytes - body_bytes)
+        allowed_bytes = self._body_bytes * MAX_FRAMING_PER_BODY_BYTE
+        if self._framing_bytes > self._server.limits().head_bytes + allowed_bytes:
+            self._stop_parsing(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+
     def _check_partial_head_size(self, byte_count: int) -> None:
         """Refuse a head that exceeds the size limit before it is complete."""
         self._partial_head_bytes += byte_count
@@ -195,6 +211,7 @@
         self._target = b""
         self._body = []
         self._body_bytes = 0
+        self._framing_bytes = 0
         self._head_bytes = 0
         self._partial_head_bytes = 0
         self._expects_continue = False
