Complete what a stopping node has begun to take, to write or to acknowledge

What callers saw, by the review of the shutdown: a request refused in a pipeline cut off one behind it that was already running; a request whose body was still arriving, and a response that a slow caller was still reading, ended at the idle exit with most of the grace period left; a departure acknowledged while the store was away was forgotten at the exit, and the restarted node sent requests to the departed upstream again.

Cause: the check for the idle exit counted running requests only. Half-read requests, responses not yet received and unstored departures were unfinished too. A refusal that ends the connection took effect when it was written, not when it was decided.

Change: the node exits early only if nothing is half read, unreceived or unstored. From the moment of such a refusal the connection discards input, but completes what was read. A node that stops acknowledges no departure that is not stored. Requests in progress at the exit are interrupted until the last connection has closed, and the steps at the end run also after an error. The shutdown counts from the time at which the signal may have arrived, if the event loop was blocked.

--- a/packages/lavenderway-dev/lavenderway_dev/server_standin.py
+++ b/packages/lavenderway-dev/lavenderway_dev/server_standin.py
@@ -81,6 +81,7 @@
             returns the ID of another request; empty for none.
         responses_to_lose: Number of coming requests that run without a response.
         cancelled: Number of requests cancelled while they ran.
+        padding_bytes: Number of zero bytes appended to the body of each response.
 
     """
 
@@ -107,6 +108,7 @@
         self.response_fault = ""
         self.responses_to_lose = 0
         self.cancelled = 0
+        self.padding_bytes = 0
         self.started_ms = int(time.time() * 1000)
         self._zone = zone
         self._node_outbound = node_outbound
@@ -232,7 +234,8 @@
             headers.append((b"lavenderway-server-signature", self.name.encode()))
         if self.response_fault == "foreign":
             headers[0] = (REQUEST_ID, b"another")
-        return Response(status, headers, b"served " + request.target)
+        body = b"served " + request.target + bytes(self.padding_bytes)
+        return Response(status, headers, body)
 
     async def _call_services(self, request: Request, request_id: bytes) -> bool:
         for prefix, calls in self.plan.calls.items():
--- a/packages/lavenderway-relay/lavenderway_relay/caller_handler.py
+++ b/packages/lavenderway-relay/lavenderway_relay/caller_handler.py
@@ -91,17 +91,10 @@
         self._random = random
         self._retry_budgets: dict[ServiceId, RetryBudget] = {}
         self._feedback = ResponseFeedback(state=state, loop=loop)
-        self._in_progress = 0
         self._routing: dict[RequestContext, asyncio.Task[Any]] = {}
 
-    @property
-    def busy(self) -> bool:
-        """Whether a request is in progress."""
-        return self._in_progress > 0
-
     async def serve(self, request: Request) -> Response:
         """Return the response to one request of a caller."""
-        self._in_progress += 1
         try:
             return await self._serve(request)
         except asyncio.CancelledError:
@@ -113,8 +106,6 @@
                 "request.fault", self._loop.time(), error=repr(error)
             )
             return refuse(Refusal.FAULT)
-        finally:
-            self._in_progress -= 1
 
     async def _serve(self, request: Request) -> Response:
         now = self._loop.time()
@@ -137,7 +128,7 @@
         context = self._make_context(
             request, request_id, route_table, route, workspace, now
         )
-        if context.parent is None and context.deadline > self._state.exit_at:
+        if self._is_too_late(context):
             return self._refuse_as_stopping(context)
         if workspace is not None and not await self._take_token(context):
             wait_s = self._state.quota.retry_after_s(workspace, now)
@@ -180,14 +171,18 @@
     def interrupt(self, now: float, stop_requested_at: float) -> int:
         """End the requests in progress, as the node exits; return their number.
 
-        Each one gets a response that tells whether it may have run.
+        Each one gets a response, which states that it may have run.
 
         Args:
             now: Event loop time, in seconds.
             stop_requested_at: Time at which the node was told to stop, in seconds.
 
         """
+        interrupted = 0
         for context, task in self._routing.items():
+            if context.expired:
+                continue
+            interrupted += 1
             self._state.log.failure(
                 "request.interrupted",
                 now,
@@ -195,12 +190,22 @@
                 route=context.route.id,
                 ms=round((now - context.received_at) * 1e3, 1),
                 after_stop_ms=round((context.received_at - stop_requested_at) * 1e3, 1),
-                peer=context.sent_to if context.in_flight else None,
+                peer=context.sent_to,
                 arrivals=context.arrivals,
             )
             context.interrupted = True
             self._expire(context, task)
-        return len(self._routing)
+        return interrupted
+
+    def _is_too_late(self, context: RequestContext) -> bool:
+        """Return whether the node exits too early for a request.
+
+        A call is taken until the exit, as the request that made it would fail without.
+        """
+        exit_at = self._state.exit_at
+        if context.parent is not None:
+            return context.received_at >= exit_at
+        return context.deadline > exit_at
 
     def _expire(self, context: RequestContext, task: asyncio.Task[Any]) -> None:
         if not context.expired:
@@ -218,8 +223,6 @@
             reason = Refusal.INTERRUPTED if context.interrupted else Refusal.TIMED_OUT
             return self._refuse(context.request, reason, context)
         self._refund_token(context)
-        if context.interrupted:
-            return self._refuse_as_stopping(context)
         return self._refuse(
             context.request,
             Refusal.EXPIRED,
@@ -227,14 +230,6 @@
             retry_after_s=NO_ROOM_RETRY_AFTER_S,
         )
 
-    def _refuse_as_stopping(self, context: RequestContext) -> Response:
-        """Return a refusal that also ends the caller's connection."""
-        retry_after_s = self._jitter(STOPPING_RETRY_AFTER_S)
-        response = self._refuse(
-            context.request, Refusal.STOPPING, context, retry_after_s=retry_after_s
-        )
-        return response._replace(reusable=False)
-
     def _make_context(
         self,
         request: Request,
@@ -612,6 +607,14 @@
         )
         return refuse(reason, retry_after_s=retry_after_s)
 
+    def _refuse_as_stopping(self, context: RequestContext) -> Response:
+        """Return a refusal that also ends the caller's connection."""
+        retry_after_s = self._jitter(STOPPING_RETRY_AFTER_S)
+        response = self._refuse(
+            context.request, Refusal.STOPPING, context, retry_after_s=retry_after_s
+        )
+        return response._replace(reusable=False)
+
     def _jitter(self, retry_after_s: float) -> float:
         """Return a delay varied by up to half, to spread the retries of callers."""
         return retry_after_s * (0.5 + self._random())
--- a/packages/lavenderway-relay/lavenderway_relay/node.py
+++ b/packages/lavenderway-relay/lavenderway_relay/node.py
@@ -198,18 +198,23 @@
         self._sync.stop()
         self.state.log.flush()
 
-    async def handle_announcement(self, upstream: Upstream) -> None:
+    async def handle_announcement(self, upstream: Upstream) -> bool:
         """Handle an announcement of the upstream on this host.
 
         If the upstream is no longer ready, returns when that is stored, but after
         `DEPARTURE_WRITE_TIMEOUT_S` at the latest.
+
+        Returns:
+            Whether to acknowledge it. A node that stops acknowledges no departure that
+            is not stored, as its next process would not know it.
+
         """
         effect = self.state.local_upstream.announce(upstream, self._loop.time())
-        await self._apply_announcement(effect, upstream.id, upstream.status)
+        return await self._apply_announcement(effect, upstream.id, upstream.status)
 
     async def handle_deregistration(
         self, upstream_id: UpstreamId, started_ms: int | None
-    ) -> None:
+    ) -> bool:
         """Handle the deregistration of an upstream on this host.
 
         Args:
@@ -217,31 +222,33 @@
             started_ms: Wall-clock start of the deregistered incarnation, in
                 milliseconds; None if the message does not state it.
 
+        Returns:
+            Whether to acknowledge it, as for an announcement.
+
         """
         effect = self.state.local_upstream.deregister(upstream_id, started_ms)
-        await self._apply_announcement(effect, upstream_id, UpstreamStatus.GONE)
+        return await self._apply_announcement(effect, upstream_id, UpstreamStatus.GONE)
 
     async def _apply_announcement(
         self,
         effect: AnnouncementEffect,
         upstream_id: UpstreamId,
         status: UpstreamStatus,
-    ) -> None:
-        if effect is AnnouncementEffect.REPEATED:
-            return
-        self.state.log.state(
-            "upstream.announced",
-            self._loop.time(),
-            upstream=upstream_id,
-            status=status,
-            reading=effect,
-        )
-        if effect is AnnouncementEffect.OUTDATED:
-            return
-        self._upstream_runner.apply_announcement()
-        self._sync.publish()
-        if status is not UpstreamStatus.READY:
-            await self._sync.wait_until_published(DEPARTURE_WRITE_TIMEOUT_S)
+    ) -> bool:
+        if effect is not AnnouncementEffect.REPEATED:
+            self.state.log.state(
+                "upstream.announced",
+                self._loop.time(),
+                upstream=upstream_id,
+                status=status,
+                reading=effect,
+            )
+        if effect is AnnouncementEffect.CHANGED:
+            self._upstream_runner.apply_announcement()
+            self._sync.publish()
+            if status is not UpstreamStatus.READY:
+                await self._sync.wait_until_published(DEPARTURE_WRITE_TIMEOUT_S)
+        return self.state.serving or not self._has_unstored_departure()
 
     def render_metrics(self) -> Response:
         """Return the metrics in the Prometheus text format."""
@@ -314,43 +321,71 @@
         before its last moment.
         """
         state = self.state
-        started = self._loop.time()
-        grace_s = state.settings.shutdown_grace_s
-        exit_at = started + grace_s - EXIT_MARGIN_S
+        # The event loop may have been blocked or suspended since the signal.
+        started = min(self._loop.time(), self._caller_server.next_tick_deadline)
+        grace_s = max(0.0, state.settings.shutdown_grace_s - EXIT_MARGIN_S)
+        leave_s = min(LEAVE_TIME_S, MAX_LEAVE_SHARE * grace_s)
         state.serving = False
         state.log.state("node.stopping", started)
         self._upstream_runner.stopping = True
         self._caller_server.stop()
         self._sync.publish()
-        await asyncio.sleep(min(LEAVE_TIME_S, MAX_LEAVE_SHARE * grace_s))
-        state.exit_at = exit_at
-        self._peer_server.stop()
-        while (now := self._loop.time()) < exit_at:
+        interrupted = 0
+        try:
+            await asyncio.sleep(started + leave_s - self._loop.time())
+            state.exit_at = started + grace_s
+            self._peer_server.stop()
+            await self._wait_until_idle(state.exit_at)
+        finally:
+            state.exit_at = min(state.exit_at, self._loop.time())
+            interrupted = await self._close_servers(started)
+            now = self._loop.time()
+            state.log.state(
+                "node.stopped",
+                now,
+                ms=round((now - started) * 1e3),
+                interrupted=interrupted,
+                unwritten_bytes=sum(server.unwritten_bytes for server in self._servers),
+            )
+
+    async def _wait_until_idle(self, deadline: float) -> None:
+        """Wait until nothing that the node took or acknowledged is unfinished."""
+        while (now := self._loop.time()) < deadline:
             self._caller_server.close_when_idle(now)
-            if not self._caller_handler.busy and not self._upstream_runner.busy:
+            servers = (self._caller_server, self._peer_server)
+            if not (
+                any(server.busy or server.has_unread_response for server in servers)
+                or self._upstream_runner.busy
+                or self._has_unstored_departure()
+            ):
                 break
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-        state.exit_at = now
-        interrupted = self._caller_handler.interrupt(now, started)
-        await self._close_servers()
-        now = self._loop.time()
-        state.log.state(
-            "node.stopped",
-            now,
-            ms=round((now - started) * 1e3),
-            interrupted=interrupted,
-            unwritten_bytes=sum(server.unwritten_bytes for server in self._servers),
-        )
 
-    async def _close_servers(self) -> None:
-        """Take no more requests, and write the responses to those taken."""
+    def _has_unstored_departure(self) -> bool:
+        upstream = self.state.local_upstream.current
+        departing = upstream is not None and upstream.status is not UpstreamStatus.READY
+        return departing and not self._sync.published
+
+    async def _close_servers(self, stop_requested_at: float) -> int:
+        """Take no more requests, and write the responses to those taken.
+
+        Args:
+            stop_requested_at: Time at which the node was told to stop, in seconds.
+
+        Returns:
+            The number of requests that were still in progress.
+
+        """
+        interrupted = 0
         deadline = self._loop.time() + WRITE_TIMEOUT_S
         for server in self._servers:
             server.close()
-        while self._loop.time() < deadline:
+        while (now := self._loop.time()) < deadline:
+            interrupted += self._caller_handler.interrupt(now, stop_requested_at)
             if not any(server.connections for server in self._servers):
                 break
             await asyncio.sleep(WRITE_POLL_INTERVAL_S)
+        return interrupted
 
     def _reload(self) -> None:
         """Read the settings again.
--- a/packages/lavenderway-relay/lavenderway_relay/server.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server.py
@@ -303,7 +303,7 @@
             self.abort()
 
     def take_no_more(self) -> None:
-        """Discard further input and close after the last pending response."""
+        """Discard further input; close after the responses to what has been read."""
         self._discarding = True
         self._in_message = False
         self.message_since = None
@@ -320,6 +320,8 @@
             # the event loop process the disconnect first, which cancels this task.
             await asyncio.sleep(READ_DELAY_S)
         pending.response = await self._server.serve(request)
+        if not pending.response.reusable:
+            self.take_no_more()
         self._flush()
         self._send_continue()
 
@@ -337,12 +339,10 @@
             response = self._pending.popleft().response
             assert response is not None
             last = not self._pending and not self._in_message
-            stopping = self._server.stopping or not self._keep_alive
-            close = (stopping and last) or not response.reusable
+            close = last and (self._server.stopping or not self._keep_alive)
             pieces.append(encode_response(response, close=close))
             if close:
                 self._transport.write(b"".join(pieces))
-                self._cancel_pending()
                 self._close()
                 return
         if pieces and not self.closing:
@@ -522,6 +522,11 @@
         """Whether a request is being read or processed on any connection."""
         return any(connection.busy for connection in self.connections)
 
+    @property
+    def has_unread_response(self) -> bool:
+        """Whether a client has not received all written responses yet."""
+        return any(connection.has_unread_response for connection in self.connections)
+
     @property
     def unwritten_bytes(self) -> int:
         """Number of response bytes that the clients have not taken yet."""
--- a/packages/lavenderway-relay/lavenderway_relay/sync.py
+++ b/packages/lavenderway-relay/lavenderway_relay/sync.py
@@ -150,6 +150,11 @@
         self._own_record_stored.clear()
         self._own_record_changed.set()
 
+    @property
+    def published(self) -> bool:
+        """Whether this host's record is stored as it is now."""
+        return self._own_record_stored.is_set()
+
     async def wait_until_published(self, timeout_s: float) -> bool:
         """Wait until this host's record is stored.
 
