--- a/tests/relay/test_caller_handler.py
+++ b/tests/relay/test_caller_handler.py
@@ -67,6 +67,7 @@
         self.unanswered: set[str] = set()
         self.unanswered_once: set[str] = set()
         self.delay_s = 0.0
+        self.response_delays_s: dict[str, float] = {}
         self.hangs = False
         self.borrower: WorkspaceTokens | None = None
         self._loan_task: asyncio.Task[None] | None = None
@@ -81,8 +82,8 @@
         if record.host in self.unanswered_once:
             self.unanswered_once.remove(record.host)
             await asyncio.sleep(60)
-        if self.delay_s:
-            await asyncio.sleep(self.delay_s)
+        if delay_s := self.response_delays_s.get(record.host, self.delay_s):
+            await asyncio.sleep(delay_s)
         hop_response = self.hop_responses.get(record.host, make_hop_response())
         answered = hop_response.outcome is Outcome.ANSWERED
         return UpstreamResult(
@@ -312,6 +313,15 @@
             self.assertEqual(200, (await self.send()).status)
         self.assertEqual(set(), self.peer_client.unanswered_once)
 
+    async def test_timed_out_attempt_is_kept_until_another_host_takes_the_request(
+        self,
+    ) -> None:
+        self.allow_retries()
+        self.peer_client.response_delays_s = {"a": 0.2}
+        self.peer_client.hop_responses = {"b": make_hop_response(Outcome.STOPPING)}
+        for _ in range(4):
+            self.assertEqual(200, (await self.send()).status)
+
     async def test_without_budget_the_attempt_continues(self) -> None:
         settings = replace(
             self.state.settings, retry_budget_ratio=0.0, retry_budget_slack=0.0
