Make the soak find requests that a stopping node drops

A node was idle within its drain time and never had a request to drop at its exit.

Clients now also pipeline, keep their connection until the node closes it, connect for each request, send long requests, read slowly and leave early; calls of upstreams are observed as well. Events come in series over a zone, the fleet or one host, and stops overlap with further signals, starts, drains and configurations. Odd seeds have planned operations only; they check that no request is broken off, replaced or dropped outside the permitted cases, that a node exits in time and that none ends by itself.

--- a/packages/lavenderway-dev/lavenderway_dev/server_standin.py
+++ b/packages/lavenderway-dev/lavenderway_dev/server_standin.py
@@ -6,7 +6,7 @@
 import itertools
 import time
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import orjson
 from lavenderway_relay.messages import Request, Response, encode_request
@@ -39,6 +39,23 @@
     times: int = 1
 
 
+class CallResult(NamedTuple):
+    """Result of one call.
+
+    Attributes:
+        sent_at: Time of the event loop, in seconds.
+        response: The response; None without a complete one.
+        error: How the connection broke before the response ended; None if it did not.
+
+    """
+
+    id: str
+    path: str
+    sent_at: float
+    response: Response | None
+    error: ConnectionBrokenError | None
+
+
 @dataclass(kw_only=True)
 class ServerPlan:
     """Plan of an application server.
@@ -48,6 +65,8 @@
         slots: Announced number of concurrent requests; the server accepts two more.
         service_time_s: Time to run one request without its calls, in seconds.
         calls: Calls made by each request, by path prefix of the request.
+        service_times_s: Times that replace `service_time_s`, by path, in seconds.
+        padding_bytes: Bytes appended to response bodies, by path.
 
     """
 
@@ -55,6 +74,8 @@
     slots: int = 8
     service_time_s: float = 0.005
     calls: dict[str, list[Call]] = field(default_factory=dict)
+    service_times_s: dict[str, float] = field(default_factory=dict)
+    padding_bytes: dict[str, int] = field(default_factory=dict)
 
 
 class Server:
@@ -73,6 +94,8 @@
         state: State that heartbeats report.
         runs: Requests that the server has started to run.
         on_run: Called with the server and each request that it starts to run.
+        on_end: Called with the server, each request that ran, and whether it completed.
+        on_call: Called with the server and the result of each call that it made.
         rejected: Number of requests rejected because the server was full.
         error_status: Status of all responses; 0 to report the actual result.
         response_fault: `unsigned` omits the signature of the server, `foreign`
@@ -100,6 +123,8 @@
         self.advertised = advertised or address
         self.runs: list[Request] = []
         self.on_run: Callable[[Server, Request], None] = lambda *_: None
+        self.on_end: Callable[[Server, Request, bool], None] = lambda *_: None
+        self.on_call: Callable[[Server, CallResult], None] = lambda *_: None
         self.rejected = 0
         self.error_status = 0
         self.response_fault = ""
@@ -198,14 +223,20 @@
         self._running += 1
         self.runs.append(request)
         self.on_run(self, request)
+        path = request.target.decode()
+        completed = False
         try:
-            await asyncio.sleep(self.plan.service_time_s)
+            await asyncio.sleep(
+                self.plan.service_times_s.get(path, self.plan.service_time_s)
+            )
             calls_succeeded = await self._call_services(request, request_id)
+            completed = True
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
         finally:
             self._running -= 1
+            self.on_end(self, request, completed)
         if self.responses_to_lose:
             self.responses_to_lose -= 1
             await asyncio.sleep(3600)
@@ -215,7 +246,8 @@
             headers.append((b"lavenderway-server-signature", self.name.encode()))
         if self.response_fault == "foreign":
             headers[0] = (REQUEST_ID, b"another")
-        return Response(status, headers, b"served " + request.target)
+        padding = bytes(self.plan.padding_bytes.get(path, 0))
+        return Response(status, headers, b"served " + request.target + padding)
 
     async def _call_services(self, request: Request, request_id: bytes) -> bool:
         for prefix, calls in self.plan.calls.items():
@@ -231,10 +263,18 @@
         call_id = b"%b.%x" % (parent_id, next(self._call_ids))
         headers = [(b"host", call.authority.encode()), (REQUEST_ID, call_id)]
         request = Request(b"GET", call.path.encode(), headers, b"")
+        sent_at = asyncio.get_running_loop().time()
+        response: Response | None = None
+        broken: ConnectionBrokenError | None = None
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 data = encode_request(request)
                 response = await self._pool.exchange(self._node_outbound, data)
-        except (ConnectError, ConnectionBrokenError, TimeoutError):
-            return False
-        return response.status == 200
+        except (ConnectError, TimeoutError):
+            pass
+        except ConnectionBrokenError as error:
+            broken = error
+        self.on_call(
+            self, CallResult(call_id.decode(), call.path, sent_at, response, broken)
+        )
+        return response is not None and response.status == 200
--- a/packages/lavenderway-dev/lavenderway_dev/soak.py
+++ b/packages/lavenderway-dev/lavenderway_dev/soak.py
@@ -15,27 +15,38 @@
 import shutil
 import signal
 import sys
+from collections import Counter
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from lavenderway_relay.messages import Request, encode_request
 from lavenderway_relay.model import Address
-from lavenderway_relay.pools import ConnectError, ConnectionBrokenError, ConnectionPool
+from lavenderway_relay.pools import ConnectionPool
 
 from lavenderway_dev.relay_fleet import (
     LOOPBACK,
+    STOP_GRACE_S,
     RelayFleet,
     RelayHostPlan,
     make_config,
     make_route,
 )
-from lavenderway_dev.server_standin import Call, Server, ServerPlan
+from lavenderway_dev.server_standin import Call, CallResult, Server, ServerPlan
 from lavenderway_dev.soak_checks import (
-    ClientRequest,
     Execution,
     Finding,
     Invariant,
     Observations,
+    RunEnd,
+    Stop,
+)
+from lavenderway_dev.soak_clients import (
+    API_KEYS,
+    BASE_HOSTS,
+    BIG_BODY_BYTES,
+    LONG_RUN_S,
+    SLOW_RUN_S,
+    Clients,
+    Workload,
 )
 from lavenderway_dev.soak_faults import Event, EventKind, generate_events
 from lavenderway_dev.soak_link import LinkFault, LinkProxy
@@ -45,21 +56,23 @@
     from collections.abc import Awaitable, Callable
     from typing import Any
 
+    from lavenderway_relay.messages import Request
+
     from lavenderway_dev.relay_fleet import RelayHost
 
 ZONES = ("east", "west", "north")
 SERVICES = ("front", "back")
-CLIENTS_PER_HOST = 3
-CLIENT_MEAN_PAUSE_S = 0.08  # between two requests of a client
-DEADLINE_MS = 2000
-CLIENT_TIMEOUT_S = 3.0  # longer than the deadline of a request
+SERVER_SLOTS = 16
 RESTART_DELAY_S = 0.3  # until the supervisor restarts a node that has ended
+RESTART_TIMEOUT_S = 15.0
+POLL_INTERVAL_S = 0.02
 UPSTREAM_DRAIN_S = 2.5  # an upstream keeps serving after it announces draining
 RECOVERY_TIMEOUT_S = 15.0
 CONFIG_APPLY_TIME_S = 2.0
 RECOVERY_STREAK = 20  # consecutive served requests after which a host has recovered
+RECOVERY_PAUSE_S = 0.01
+MAX_PRINTED_FINDINGS = 10  # per seed and invariant
 WORKSPACE_LIMITS = {"small": (20.0, 10.0)}
-API_KEYS = {"small": "key-small", "large": "key-large", "former": "key-former"}
 TENANTS: dict[str, dict[str, Any]] = {
     name: {"api-keys": [key], "rate-per-s": 0, "burst": 0}
     for name, key in API_KEYS.items()
@@ -69,13 +82,22 @@
     "front": make_route("/front/", "front", public=False),
     "order": make_route("/order/", "back", kind="unsafe", public=False),
     "back": make_route("/back/", "back"),
+    "big": make_route("/big/", "back"),
+    "long": make_route("/long/", "back", timeout="6000ms", target="3000ms"),
 }
+SHORT_TIMEOUTS = ("1500ms", "3000ms")
+LONG_TIMEOUTS = ("5000ms", "6000ms")
+IDLE_TIMEOUTS = ("1000ms", "15000ms")
 SERVICES_BY_PREFIX = {
     "/front/": frozenset({"front"}),
     "/order/": frozenset({"back"}),
     "/back/": frozenset({"back"}),
+    "/big/": frozenset({"back"}),
+    "/long/": frozenset({"back"}),
     "/new/": frozenset({"back"}),
 }
+# Exit codes of a node that received a signal before it could handle it.
+EARLY_SIGNAL_EXIT_CODES = (-signal.SIGTERM, -signal.SIGHUP)
 
 _HANDLERS: dict[EventKind, Callable[[Soak, Event], Awaitable[None]]] = {}
 
@@ -128,8 +150,17 @@
     """Return host plans spread over the zones, half of them for each service."""
     calls = {"/front/": [Call(authority="app.example", path="/back/call", times=2)]}
     servers = {
-        "front": ServerPlan(service="front", slots=10, calls=calls),
-        "back": ServerPlan(service="back", slots=10),
+        "front": ServerPlan(service="front", slots=SERVER_SLOTS, calls=calls),
+        "back": ServerPlan(
+            service="back",
+            slots=SERVER_SLOTS,
+            service_times_s={
+                "/back/slow": SLOW_RUN_S,
+                "/order/slow": SLOW_RUN_S,
+                "/long/x": LONG_RUN_S,
+            },
+            padding_bytes={"/big/x": BIG_BODY_BYTES},
+        ),
     }
     return [
         RelayHostPlan(
@@ -145,26 +176,26 @@
     """One soak run.
 
     Args:
-        seed: Seed of the random number generator; seeds divisible by three inject
-            planned operations only.
-        seconds: Length of the period in which faults start, in seconds.
+        seed: Seed of the random number generator; odd seeds inject planned operations
+            only.
+        seconds: Length of the period in which series of events start, in seconds.
         hosts: Number of hosts.
 
     """
 
     def __init__(self, *, seed: int, seconds: float, hosts: int) -> None:
         self.rng = random.Random(seed)
-        self.planned_only = seed % 3 == 0
+        self.planned_only = seed % 2 == 1
         self.observations = Observations()
         self.fleet = SoakFleet(
             build_host_plans(hosts), config=make_config(1, ROUTES, TENANTS)
         )
+        self.loop = asyncio.get_running_loop()
+        self._clients: Clients
         self._seconds = seconds
         self._config_versions = itertools.count(2)
-        self._request_numbers = itertools.count(1)
         self._incarnation_numbers = itertools.count(1)
-        self._is_ending = False
-        self._loop = asyncio.get_running_loop()
+        self._stopping: set[asyncio.subprocess.Process] = set()
 
     async def run(self, keep_logs: Path | None = None) -> list[Finding]:
         """Run the soak; return the violated invariants.
@@ -175,27 +206,28 @@
 
         """
         async with self.fleet:
-            for host in self.fleet.hosts.values():
-                host.server.on_run = self._record_execution
-            names = list(self.fleet.hosts)
+            hosts = self.fleet.hosts
+            for host in hosts.values():
+                self.observe_server(host)
+            zones = [
+                [name for name in hosts if hosts[name].plan.zone == zone]
+                for zone in ZONES
+            ]
             events = generate_events(
-                self.rng, names, seconds=self._seconds, planned_only=self.planned_only
+                self.rng, zones, seconds=self._seconds, planned_only=self.planned_only
+            )
+            self._clients = Clients(
+                fleet=self.fleet, observations=self.observations, rng=self.rng
             )
             supervisors = [
-                asyncio.create_task(self._supervise(host))
-                for host in self.fleet.hosts.values()
-            ]
-            clients = [
-                asyncio.create_task(self._run_client(host))
-                for host in names
-                for _ in range(CLIENTS_PER_HOST)
+                asyncio.create_task(self._supervise(host)) for host in hosts.values()
             ]
+            self._clients.start()
             await asyncio.gather(*(self._run_event(event) for event in events))
             self._clear_faults()
             await self._check_recovery()
             await self._check_configuration()
-            self._is_ending = True
-            await asyncio.gather(*clients)
+            await self._clients.stop()
             for task in supervisors:
                 task.cancel()
             findings = self.observations.check(
@@ -205,7 +237,7 @@
             )
             if findings and keep_logs is not None:
                 keep_logs.mkdir(parents=True, exist_ok=True)
-                for host in self.fleet.hosts.values():
+                for host in hosts.values():
                     shutil.copy(host.log_path, keep_logs)
                 lines = [f"{event}\n" for event in events]
                 lines += [f"{f.invariant.value}: {f.detail}\n" for f in findings]
@@ -214,72 +246,96 @@
                 link.stop()
         return findings
 
+    def observe_server(self, host: RelayHost) -> None:
+        """Record the executions and calls of the present server of a host."""
+        observations = self.observations
+        server = host.server
+        observations.upstream_hosts[server.name] = host.plan.name
+
+        def record_end(server: Server, request: Request, completed: bool) -> None:
+            run = _get_request_id(request), server.name
+            observations.run_ends[run] = RunEnd(self.loop.time(), completed)
+
+        def record_call(_: Server, call: CallResult) -> None:
+            self._clients.record_call(host.plan.name, call)
+
+        server.on_run = self._record_execution
+        server.on_end = record_end
+        server.on_call = record_call
+
     def _record_execution(self, server: Server, request: Request) -> None:
         names = {name for name, _ in request.headers}
         workspace = request.header(b"lavenderway-tenant")
         run = Execution(
-            (request.header(b"lavenderway-attempt-id") or b"").decode(),
+            _get_request_id(request),
             server.plan.service,
             server.name,
-            self._loop.time(),
+            self.loop.time(),
             workspace.decode() if workspace else None,
             b"authorization" in names,
         )
         self.observations.executions.append(run)
 
     async def _supervise(self, host: RelayHost) -> None:
+        """Restart a node whenever it has ended; check how it ended."""
         while True:
-            await host.wait()
+            code = await host.wait()
+            has_been_stopped = host.process in self._stopping
+            expected = (*EARLY_SIGNAL_EXIT_CODES, -signal.SIGKILL)
+            if code not in expected and not (code == 0 and has_been_stopped):
+                detail = f"{host.plan.name}: exit code {code}"
+                self.observations.record_violation(Invariant.KEPT_RUNNING, detail)
             await asyncio.sleep(RESTART_DELAY_S)
             await host.start_node()
 
-    async def _run_client(self, host: str) -> None:
-        pool = ConnectionPool(loop=self._loop, connect_timeout_s=1.0)
-        while not self._is_ending:
-            await asyncio.sleep(self.rng.expovariate(1 / CLIENT_MEAN_PAUSE_S))
-            path, workspace = self.rng.choice(
-                [
-                    ("/front/x", "small"),
-                    ("/front/y", "large"),
-                    ("/order/x", "large"),
-                    ("/back/x", None),
-                ]
-            )
-            await self.request(host, path, workspace, pool=pool)
-        pool.close()
-
-    async def request(
-        self, host: str, path: str, workspace: str | None, *, pool: ConnectionPool
-    ) -> int | None:
-        """Send one client request; return its status, None without a response."""
-        at_most_once = path.startswith("/order/")
-        sent = ClientRequest(
-            id=f"{next(self._request_numbers):016x}",
-            path=path,
-            workspace=workspace,
-            at_most_once=at_most_once,
-            sent_at=self._loop.time(),
+    async def replace_server(self, host: RelayHost) -> None:
+        """Stop the server of a host and start another one at its address."""
+        self.observations.upstreams_stopped_at[host.server.name] = self.loop.time()
+        host.server.stop()
+        host.server = host.create_server(
+            f"i-{host.plan.name}-{next(self._incarnation_numbers)}"
         )
-        self.observations.sent[sent.id] = sent
-        headers = [
-            (b"host", b"app.example"),
-            (b"lavenderway-attempt-id", sent.id.encode()),
-            (b"lavenderway-deadline-ms", b"%d" % DEADLINE_MS),
-        ]
-        if workspace is not None:
-            headers.append(
-                (b"authorization", b"Bearer " + API_KEYS[workspace].encode())
+        self.observe_server(host)
+        await host.server.start()
+
+    async def send_signal(self, host: RelayHost, number: signal.Signals) -> None:
+        """Send a signal to the node of a host unless the node has ended.
+
+        A node that gets SIGTERM is killed if it has not ended after its grace period.
+        """
+        process = host.process
+        if process is None or process.returncode is not None:
+            return
+        with contextlib.suppress(ProcessLookupError):
+            host.signal(number)
+        if number is signal.SIGTERM and process not in self._stopping:
+            self._stopping.add(process)
+            self.observations.stops.append(Stop(host.plan.name, self.loop.time()))
+            self.loop.call_later(STOP_GRACE_S, self._end_grace_period, host, process)
+
+    def _end_grace_period(
+        self, host: RelayHost, process: asyncio.subprocess.Process
+    ) -> None:
+        if process.returncode is not None:
+            return
+        if self.planned_only:
+            self.observations.record_violation(
+                Invariant.EXITED_IN_TIME,
+                f"{host.plan.name}: still running {STOP_GRACE_S} s after SIGTERM",
             )
-        method = b"POST" if at_most_once else b"GET"
-        data = encode_request(Request(method, path.encode(), headers, b""))
-        with contextlib.suppress(ConnectError, TimeoutError):
-            try:
-                async with asyncio.timeout(CLIENT_TIMEOUT_S):
-                    response = await pool.exchange(self.fleet.hosts[host].callers, data)
-                sent.status, sent.body = response.status, response.body
-            except ConnectionBrokenError:
-                sent.connection_broken = True
-        return sent.status
+        with contextlib.suppress(ProcessLookupError):
+            process.kill()
+
+    async def wait_for_restart(self, host: RelayHost) -> bool:
+        """Wait for the next process of a host; return whether it has started."""
+        process = host.process
+        try:
+            async with asyncio.timeout(RESTART_TIMEOUT_S):
+                while host.process is process:
+                    await asyncio.sleep(POLL_INTERVAL_S)
+        except TimeoutError:
+            return False
+        return True
 
     async def _run_event(self, event: Event) -> None:
         await asyncio.sleep(event.at)
@@ -295,18 +351,23 @@
 
     async def _check_recovery(self) -> None:
         """Check that every host serves consecutive requests again in time."""
-        pool = ConnectionPool(loop=self._loop, connect_timeout_s=1.0)
+        hosts = list(self.fleet.hosts)
+        for first in range(0, len(hosts), BASE_HOSTS):
+            batch = hosts[first : first + BASE_HOSTS]
+            await asyncio.gather(*(self._check_host_recovery(host) for host in batch))
+
+    async def _check_host_recovery(self, host: str) -> None:
+        pool = ConnectionPool(loop=self.loop, connect_timeout_s=1.0)
+        streak = 0
         try:
             async with asyncio.timeout(RECOVERY_TIMEOUT_S):
-                for host in self.fleet.hosts:
-                    streak = 0
-                    while streak < RECOVERY_STREAK:
-                        path, name = self.rng.choice(
-                            [("/front/y", "large"), ("/back/x", None)]
-                        )
-                        served = await self.request(host, path, name, pool=pool)
-                        streak = streak + 1 if served == 200 else 0
-                        await asyncio.sleep(0.01)
+                while streak < RECOVERY_STREAK:
+                    workload = self.rng.choice(
+                        [Workload("/front/y", "large"), Workload("/back/x")]
+                    )
+                    served = await self._clients.request(host, workload, pool=pool)
+                    streak = streak + 1 if served == 200 else 0
+                    await asyncio.sleep(RECOVERY_PAUSE_S)
         except TimeoutError:
             self.observations.record_violation(
                 Invariant.RECOVERED,
@@ -316,54 +377,131 @@
 
     async def _check_configuration(self) -> None:
         """Check that a removed key and an added route take effect on every host."""
-        pool = ConnectionPool(loop=self._loop, connect_timeout_s=1.0)
+        pool = ConnectionPool(loop=self.loop, connect_timeout_s=1.0)
         routes = {**ROUTES, "new": make_route("/new/", "back")}
         tenants = {name: TENANTS[name] for name in ("small", "large")}
         self.fleet.configure(make_config(next(self._config_versions), routes, tenants))
         await asyncio.sleep(CONFIG_APPLY_TIME_S)
+        new, former = Workload("/new/x"), Workload("/front/x", "former")
         for host in self.fleet.hosts:
-            added = await self.request(host, "/new/x", None, pool=pool)
-            withdrawn = await self.request(host, "/front/x", "former", pool=pool)
+            added = await self._clients.request(host, new, pool=pool)
+            withdrawn = await self._clients.request(host, former, pool=pool)
             if added == 404 or withdrawn != 401:
                 detail = f"{host}: added route {added}, removed key {withdrawn}"
                 self.observations.record_violation(Invariant.CONFIGURED, detail)
         pool.close()
 
+    def configure_randomly(self) -> None:
+        """Write a configuration with random timeouts, keys and an added route."""
+        version = next(self._config_versions)
+        routes = {**ROUTES, f"r{version}": make_route(f"/r{version}/", "back")}
+        for name, route in routes.items():
+            choices = LONG_TIMEOUTS if name == "long" else SHORT_TIMEOUTS
+            routes[name] = {**route, "timeout": self.rng.choice(choices)}
+        tenants = dict(TENANTS)
+        if self.rng.random() < 0.5:
+            del tenants["former"]
+        config = make_config(version, routes, tenants)
+        config["limits"]["idle-timeout"] = self.rng.choice(IDLE_TIMEOUTS)
+        self.fleet.configure(config)
 
-async def _signal_node(soak: Soak, event: Event, number: signal.Signals) -> None:
-    host = soak.fleet.hosts[event.host]
-    if host.process is not None and host.process.returncode is None:
-        with contextlib.suppress(ProcessLookupError):
-            host.signal(number)
+
+def _get_request_id(request: Request) -> str:
+    return (request.header(b"lavenderway-attempt-id") or b"").decode()
 
 
 @_register_handler(EventKind.STOP)
 async def _stop_node(soak: Soak, event: Event) -> None:
-    await _signal_node(soak, event, signal.SIGTERM)
+    await soak.send_signal(soak.fleet.hosts[event.host], signal.SIGTERM)
+
+
+@_register_handler(EventKind.STOP_TWICE)
+async def _stop_node_twice(soak: Soak, event: Event) -> None:
+    await _stop_and_signal(soak, event, signal.SIGTERM)
+
+
+@_register_handler(EventKind.STOP_AND_RELOAD)
+async def _reload_stopping_node(soak: Soak, event: Event) -> None:
+    await _stop_and_signal(soak, event, signal.SIGHUP)
+
+
+@_register_handler(EventKind.STOP_AND_KILL)
+async def _kill_stopping_node(soak: Soak, event: Event) -> None:
+    await _stop_and_signal(soak, event, signal.SIGKILL)
+
+
+async def _stop_and_signal(soak: Soak, event: Event, number: signal.Signals) -> None:
+    """Send another signal to a process that is stopping."""
+    host = soak.fleet.hosts[event.host]
+    process = host.process
+    await soak.send_signal(host, signal.SIGTERM)
+    await asyncio.sleep(event.duration_s)
+    if host.process is process:
+        await soak.send_signal(host, number)
+
+
+@_register_handler(EventKind.STOP_AND_PAUSE)
+async def _pause_stopping_node(soak: Soak, event: Event) -> None:
+    await soak.send_signal(soak.fleet.hosts[event.host], signal.SIGTERM)
+    await asyncio.sleep(event.duration_s / 2)
+    await _pause_node(soak, event)
+
+
+@_register_handler(EventKind.STOP_AFTER_START)
+async def _stop_started_node(soak: Soak, event: Event) -> None:
+    """Stop a node, and stop it again while it starts."""
+    host = soak.fleet.hosts[event.host]
+    await soak.send_signal(host, signal.SIGTERM)
+    if await soak.wait_for_restart(host):
+        await asyncio.sleep(event.duration_s / 4)
+        await soak.send_signal(host, signal.SIGTERM)
+
+
+@_register_handler(EventKind.RELOAD_AFTER_START)
+async def _reload_started_node(soak: Soak, event: Event) -> None:
+    """Stop a node, and reload it as soon as it accepts connections again."""
+    host = soak.fleet.hosts[event.host]
+    await soak.send_signal(host, signal.SIGTERM)
+    if await soak.wait_for_restart(host):
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(RESTART_TIMEOUT_S):
+                while not await _accepts_connections(host.callers):
+                    await asyncio.sleep(POLL_INTERVAL_S)
+        await soak.send_signal(host, signal.SIGHUP)
+
+
+async def _accepts_connections(address: Address) -> bool:
+    try:
+        _, writer = await asyncio.open_connection(*address)
+    except OSError:
+        return False
+    writer.close()
+    return True
 
 
 @_register_handler(EventKind.KILL)
 async def _kill_node(soak: Soak, event: Event) -> None:
-    await _signal_node(soak, event, signal.SIGKILL)
+    await soak.send_signal(soak.fleet.hosts[event.host], signal.SIGKILL)
 
 
 @_register_handler(EventKind.RELOAD)
 async def _reload_node(soak: Soak, event: Event) -> None:
-    await _signal_node(soak, event, signal.SIGHUP)
+    await soak.send_signal(soak.fleet.hosts[event.host], signal.SIGHUP)
 
 
 @_register_handler(EventKind.PAUSE)
 async def _pause_node(soak: Soak, event: Event) -> None:
-    await _signal_node(soak, event, signal.SIGSTOP)
+    host = soak.fleet.hosts[event.host]
+    process = host.process
+    await soak.send_signal(host, signal.SIGSTOP)
     await asyncio.sleep(event.duration_s)
-    await _signal_node(soak, event, signal.SIGCONT)
+    if host.process is process:
+        await soak.send_signal(host, signal.SIGCONT)
 
 
 @_register_handler(EventKind.CONFIGURE)
 async def _configure(soak: Soak, event: Event) -> None:
-    version = next(soak._config_versions)
-    routes = {**ROUTES, f"r{version}": make_route(f"/r{version}/", "back")}
-    soak.fleet.configure(make_config(version, routes, TENANTS))
+    soak.configure_randomly()
 
 
 @_register_handler(EventKind.LEAVE)
@@ -374,15 +512,19 @@
     if leaving.state != "ready":
         return
     if await leaving.leave() == 200:
-        soak.observations.drained_at[leaving.name] = soak._loop.time()
+        soak.observations.drained_at[leaving.name] = soak.loop.time()
     await asyncio.sleep(UPSTREAM_DRAIN_S)
     await leaving.deregister()
-    leaving.stop()
-    host.server = host.create_server(
-        f"i-{event.host}-{next(soak._incarnation_numbers)}"
-    )
-    host.server.on_run = soak._record_execution
-    await host.server.start()
+    await soak.replace_server(host)
+
+
+@_register_handler(EventKind.LEAVE_AND_STOP)
+async def _replace_upstream_and_stop(soak: Soak, event: Event) -> None:
+    """Stop a node while its upstream drains."""
+    leave = asyncio.create_task(_replace_upstream(soak, event))
+    await asyncio.sleep(event.duration_s)
+    await soak.send_signal(soak.fleet.hosts[event.host], signal.SIGTERM)
+    await leave
 
 
 @_register_handler(EventKind.STORE_REFUSES)
@@ -432,6 +574,17 @@
     return await soak.run(keep_logs)
 
 
+def _select_findings(findings: list[Finding]) -> list[Finding]:
+    """Return the first findings of each invariant."""
+    counts: Counter[Invariant] = Counter()
+    selected = []
+    for finding in findings:
+        counts[finding.invariant] += 1
+        if counts[finding.invariant] <= MAX_PRINTED_FINDINGS:
+            selected.append(finding)
+    return selected
+
+
 def main() -> int:
     """Run the soaks selected on the command line; return the exit code."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -458,7 +611,7 @@
         )
         failed += bool(findings)
         print(f"seed {seed}: {len(findings)} findings", flush=True)
-        for finding in findings[:10]:
+        for finding in _select_findings(findings):
             print(f"  {finding.invariant.value}: {finding.detail}", flush=True)
     return 1 if failed else 0
 
--- a/packages/lavenderway-dev/lavenderway_dev/soak_checks.py
+++ b/packages/lavenderway-dev/lavenderway_dev/soak_checks.py
@@ -7,6 +7,8 @@
 from enum import Enum
 from typing import NamedTuple
 
+from lavenderway_dev.relay_fleet import STOP_GRACE_S
+
 # A response with one of these statuses states that the request did not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 RATE_WINDOW_S = 5.0
@@ -16,6 +18,15 @@
 RETRY_WINDOW_S = 10.0
 RETRY_RATIO = 0.2
 RETRY_SLACK_REQUESTS = 50.0
+LAST_STOP_PERIOD_S = STOP_GRACE_S / 6  # in which long requests may be broken off
+LONG_REQUEST_LIMIT_S = 3.0  # after SIGTERM; only earlier requests may be broken off
+# Between the last byte of an unread or queued request and the end of its connection.
+DROP_SLACK_S = 0.2
+# The same for a connection that was reset, as bytes that were never read cause that.
+RESET_DROP_SLACK_S = 1.0
+TIME_LIMIT_TOLERANCE_S = 0.1
+# Between the end of a run and the answer that replaces the response of the upstream.
+REPLACED_RESPONSE_S = 0.2
 
 
 class Invariant(Enum):
@@ -31,6 +42,9 @@
     DRAINED = "a draining upstream got a new request"
     RETRY_BUDGET = "retries exceeded the budget of the fleet"
     PLANNED_OPERATION = "a planned operation broke a request"
+    NOT_DROPPED = "a planned operation dropped a request that had not run"
+    EXITED_IN_TIME = "a node did not exit within its grace period"
+    KEPT_RUNNING = "a node ended by itself"
     RECOVERED = "a host did not recover in time"
     CONFIGURED = "a configuration did not take effect in time"
 
@@ -48,8 +62,16 @@
 
     Attributes:
         at_most_once: Whether the request is not idempotent.
+        deadline_s: Time that the client will wait, in seconds.
+        limit_s: Time after which the request may fail, in seconds.
+        body_bytes: Size of the response body beyond its first line.
+        host: Name of the host whose node received the request.
+        behind: Whether an earlier request on the connection was unanswered.
+        ended_at: When the response or the end of the connection was received; None
+            if the client received neither.
         status: Status of the response; None without a complete response.
         connection_broken: Whether the connection broke before the response ended.
+        connection_reset: Whether it was reset rather than closed.
 
     """
 
@@ -58,8 +80,15 @@
     workspace: str | None
     at_most_once: bool
     sent_at: float
+    deadline_s: float = 2.0
+    limit_s: float = 2.0
+    body_bytes: int = 0
+    host: str = ""
+    behind: bool = False
+    ended_at: float | None = None
     status: int | None = None
     connection_broken: bool = False
+    connection_reset: bool = False
     body: bytes = b""
 
 
@@ -80,6 +109,20 @@
     has_authorization: bool
 
 
+class RunEnd(NamedTuple):
+    """End of an execution; `completed` is False if it was cancelled."""
+
+    at: float
+    completed: bool
+
+
+class Stop(NamedTuple):
+    """A SIGTERM to the node of a host."""
+
+    host: str
+    at: float
+
+
 @dataclass(kw_only=True)
 class Observations:
     """Requests, executions and findings of one soak run.
@@ -89,12 +132,20 @@
         executions: Executions at all upstreams, in order of time.
         drained_at: Time at which the node acknowledged that an upstream is draining, by
             the name of the upstream.
+        run_ends: Ends of executions, by request ID and name of the upstream.
+        upstreams_stopped_at: Time at which an upstream ended, by its name.
+        upstream_hosts: Host of each upstream, by its name.
+        stops: First SIGTERM to each process, in order of time.
 
     """
 
     sent: dict[str, ClientRequest] = field(default_factory=dict)
     executions: list[Execution] = field(default_factory=list)
     drained_at: dict[str, float] = field(default_factory=dict)
+    run_ends: dict[tuple[str, str], RunEnd] = field(default_factory=dict)
+    upstreams_stopped_at: dict[str, float] = field(default_factory=dict)
+    upstream_hosts: dict[str, str] = field(default_factory=dict)
+    stops: list[Stop] = field(default_factory=list)
     findings: list[Finding] = field(default_factory=list)
 
     def record_violation(self, invariant: Invariant, detail: str) -> None:
@@ -122,15 +173,8 @@
         for request_id, sent in self.sent.items():
             executions = by_id.get(request_id, [])
             self._check_request(sent, executions, services)
-            if (
-                planned_only
-                and executions
-                and (sent.connection_broken or sent.status == 502)
-            ):
-                self.record_violation(
-                    Invariant.PLANNED_OPERATION,
-                    f"{sent.id}: {sent.status}, {executions}",
-                )
+            if planned_only:
+                self._check_planned_operation(sent, executions)
         for execution in self.executions:
             drained_at = self.drained_at.get(execution.upstream)
             if (
@@ -162,9 +206,10 @@
             self.record_violation(
                 Invariant.TRUE_REFUSAL, f"{sent.id}: {sent.status}, {executions}"
             )
-        if sent.status == 200 and sent.body != b"served " + sent.path.encode():
+        expected = b"served " + sent.path.encode() + bytes(sent.body_bytes)
+        if sent.status == 200 and sent.body != expected:
             self.record_violation(
-                Invariant.MATCHING_RESPONSE, f"{sent.id}: {sent.body!r}"
+                Invariant.MATCHING_RESPONSE, f"{sent.id}: {sent.body[:80]!r}"
             )
         if sent.status == 200 and not executions:
             self.record_violation(
@@ -185,6 +230,88 @@
                     Invariant.AUTHENTICATED, f"{sent.id}: {sent.status}, {execution}"
                 )
 
+    def _check_planned_operation(
+        self, sent: ClientRequest, executions: list[Execution]
+    ) -> None:
+        """Check that a request was neither broken off nor dropped."""
+        ended_at = sent.sent_at if sent.ended_at is None else sent.ended_at
+        waited_s = ended_at - sent.sent_at
+        if waited_s >= sent.limit_s - TIME_LIMIT_TOLERANCE_S:
+            return
+        if executions:
+            last = executions[-1]
+            is_broken = sent.connection_broken or sent.status in (502, 504)
+            if not is_broken and not self._is_replaced(sent, last, ended_at):
+                return
+            if self._may_be_broken_off(sent, last, ended_at):
+                return
+            invariant = Invariant.PLANNED_OPERATION
+        else:
+            slack_s = RESET_DROP_SLACK_S if sent.connection_reset else DROP_SLACK_S
+            if not sent.connection_broken or sent.behind or waited_s <= slack_s:
+                return
+            invariant = Invariant.NOT_DROPPED
+        self.record_violation(invariant, self._describe(sent, executions, ended_at))
+
+    def _is_replaced(
+        self, sent: ClientRequest, execution: Execution, ended_at: float
+    ) -> bool:
+        """Return whether a refusal was sent while the upstream was at work."""
+        if sent.status not in NOT_RUN_STATUSES:
+            return False
+        end = self.run_ends.get((execution.id, execution.upstream))
+        if end is None:
+            return True
+        return not end.completed and end.at > ended_at - REPLACED_RESPONSE_S
+
+    def _may_be_broken_off(
+        self, sent: ClientRequest, execution: Execution, ended_at: float
+    ) -> bool:
+        """Return whether the upstream ended, or the grace period before the run."""
+        end = self.run_ends.get((execution.id, execution.upstream))
+        run_ended_at = ended_at if end is None else end.at
+        stopped_at = self.upstreams_stopped_at.get(execution.upstream)
+        if stopped_at is not None and execution.started_at <= stopped_at <= min(
+            ended_at, run_ended_at
+        ):
+            return True
+        hosts = (sent.host, self.upstream_hosts.get(execution.upstream))
+        return any(
+            sent.sent_at <= stop.at + LONG_REQUEST_LIMIT_S
+            and run_ended_at >= stop.at + STOP_GRACE_S - LAST_STOP_PERIOD_S
+            and ended_at <= stop.at + STOP_GRACE_S + 1.0
+            for stop in self.stops
+            if stop.host in hosts
+        )
+
+    def _describe(
+        self, sent: ClientRequest, executions: list[Execution], ended_at: float
+    ) -> str:
+        """Return what happened to a broken request, in seconds after the SIGTERM."""
+        stop_times = [
+            stop.at
+            for stop in self.stops
+            if stop.host == sent.host and stop.at <= ended_at
+        ]
+        origin = stop_times[-1] if stop_times else sent.sent_at
+        result = str(sent.status)
+        if sent.connection_broken:
+            result = "connection reset" if sent.connection_reset else "closed"
+        text = (
+            f"{sent.id} {sent.path} to {sent.host}"
+            f"{' (never stopped)' if not stop_times else ''}, seconds after SIGTERM:"
+            f" sent {sent.sent_at - origin:.2f}{' behind another' * sent.behind},"
+            f" {result} {ended_at - origin:.2f}"
+        )
+        for execution in executions:
+            end = self.run_ends.get((execution.id, execution.upstream))
+            ended = "not ended" if end is None else f"{end.at - origin:.2f}"
+            text += (
+                f", ran at {execution.upstream}"
+                f" {execution.started_at - origin:.2f} to {ended}"
+            )
+        return text
+
     def _check_rate(self, workspace: str, rate_per_s: float, burst: float) -> None:
         allowed = rate_per_s * RATE_WINDOW_S + burst
         allowed = allowed * (1 + RATE_TOLERANCE_RATIO) + RATE_TOLERANCE_REQUESTS
--- a/packages/lavenderway-dev/lavenderway_dev/soak_faults.py
+++ b/packages/lavenderway-dev/lavenderway_dev/soak_faults.py
@@ -2,17 +2,18 @@
 
 from __future__ import annotations
 
+import random
+from collections.abc import Callable
 from enum import Enum
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
 from lavenderway_dev.soak_link import LinkFault
 
-if TYPE_CHECKING:
-    import random
-
 FIRST_EVENT_S = 1.0  # after the start of traffic
 MAX_FAULT_S = 4.0
-MAX_SERIES_EVENTS = 4  # consecutive events of one kind
+MIN_SERIES = 3
+MAX_SERIES = 7
+MAX_SERIES_EVENTS = 4  # consecutive events on hosts chosen at random
 MAX_SERIES_GAP_S = 0.7
 
 
@@ -20,11 +21,18 @@
     """Kinds of events; the planned ones are `PLANNED_KINDS`."""
 
     STOP = "stop"
+    STOP_TWICE = "stop-twice"
+    STOP_AND_RELOAD = "stop-and-reload"
+    STOP_AFTER_START = "stop-after-start"
     RELOAD = "reload"
+    RELOAD_AFTER_START = "reload-after-start"
     CONFIGURE = "configure"
     LEAVE = "leave"
+    LEAVE_AND_STOP = "leave-and-stop"
     KILL = "kill"
+    STOP_AND_KILL = "stop-and-kill"
     PAUSE = "pause"
+    STOP_AND_PAUSE = "stop-and-pause"
     STORE_REFUSES = "store-refuses"
     STORE_SLOW = "store-slow"
     STORE_LOSES_RESPONSES = "store-loses-answers"
@@ -34,7 +42,17 @@
     UPSTREAM_LINK = "upstream-link"
 
 
-PLANNED_KINDS = (EventKind.STOP, EventKind.RELOAD, EventKind.CONFIGURE, EventKind.LEAVE)
+PLANNED_KINDS = (
+    EventKind.STOP,
+    EventKind.STOP_TWICE,
+    EventKind.STOP_AND_RELOAD,
+    EventKind.STOP_AFTER_START,
+    EventKind.RELOAD,
+    EventKind.RELOAD_AFTER_START,
+    EventKind.CONFIGURE,
+    EventKind.LEAVE,
+    EventKind.LEAVE_AND_STOP,
+)
 
 
 class Event(NamedTuple):
@@ -56,30 +74,94 @@
     link: LinkFault
 
 
+class _Series(NamedTuple):
+    """Events of one kind, or of any kind, in short succession.
+
+    Attributes:
+        kind: Kind of all events; None for a random kind of each event.
+        hosts: Names of the affected hosts, in order.
+
+    """
+
+    kind: EventKind | None
+    hosts: list[str]
+
+
+_SeriesGenerator = Callable[
+    [random.Random, tuple[EventKind, ...], list[list[str]]], _Series
+]
+_SERIES_GENERATORS: list[_SeriesGenerator] = []
+
+
+def _register_series(generator: _SeriesGenerator) -> _SeriesGenerator:
+    _SERIES_GENERATORS.append(generator)
+    return generator
+
+
+@_register_series
+def _choose_random_hosts(
+    rng: random.Random, kinds: tuple[EventKind, ...], zones: list[list[str]]
+) -> _Series:
+    hosts = [host for zone in zones for host in zone]
+    count = rng.randint(1, MAX_SERIES_EVENTS)
+    return _Series(rng.choice(kinds), [rng.choice(hosts) for _ in range(count)])
+
+
+@_register_series
+def _choose_one_host(
+    rng: random.Random, kinds: tuple[EventKind, ...], zones: list[list[str]]
+) -> _Series:
+    """Return events of different kinds that overlap on one host."""
+    host = rng.choice(rng.choice(zones))
+    return _Series(None, [host] * rng.randint(2, MAX_SERIES_EVENTS))
+
+
+@_register_series
+def _choose_zone(
+    rng: random.Random, kinds: tuple[EventKind, ...], zones: list[list[str]]
+) -> _Series:
+    return _Series(rng.choice(kinds), list(rng.choice(zones)))
+
+
+@_register_series
+def _choose_fleet(
+    rng: random.Random, kinds: tuple[EventKind, ...], zones: list[list[str]]
+) -> _Series:
+    hosts = [host for zone in zones for host in zone]
+    rng.shuffle(hosts)
+    return _Series(rng.choice(kinds), hosts)
+
+
 def generate_events(
-    rng: random.Random, hosts: list[str], *, seconds: float, planned_only: bool
+    rng: random.Random,
+    zones: list[list[str]],
+    *,
+    seconds: float,
+    planned_only: bool,
 ) -> list[Event]:
     """Return the events of a soak run, sorted by start time.
 
-    Events are generated in series of one kind; series may overlap.
+    Events are generated in series, which may overlap. Each run has a series of stops.
 
     Args:
         rng: Random number generator.
-        hosts: Names of the hosts.
-        seconds: Latest start of an event, in seconds after the start of traffic.
+        zones: Names of the hosts of each failure domain.
+        seconds: Latest start of a series, in seconds after the start of traffic.
         planned_only: Whether to generate planned operations only.
 
     """
     kinds = PLANNED_KINDS if planned_only else tuple(EventKind)
     faults = [fault for fault in LinkFault if fault is not LinkFault.NONE]
     events = []
-    for _ in range(rng.randint(3, 7)):
-        kind = rng.choice(kinds)
+    all_series = [_choose_zone(rng, (EventKind.STOP,), zones)]
+    for _ in range(rng.randint(MIN_SERIES, MAX_SERIES) - 1):
+        all_series.append(rng.choice(_SERIES_GENERATORS)(rng, kinds, zones))
+    for series in all_series:
         at = rng.uniform(FIRST_EVENT_S, seconds)
-        for _ in range(rng.randint(1, MAX_SERIES_EVENTS)):
+        gap_s = min(MAX_SERIES_GAP_S, MAX_FAULT_S / len(series.hosts))
+        for host in series.hosts:
+            kind = series.kind or rng.choice(kinds)
             duration_s = rng.uniform(0.2, MAX_FAULT_S)
-            events.append(
-                Event(at, kind, rng.choice(hosts), duration_s, rng.choice(faults))
-            )
-            at = min(seconds, at + rng.uniform(0.0, MAX_SERIES_GAP_S))
+            events.append(Event(at, kind, host, duration_s, rng.choice(faults)))
+            at += rng.uniform(0.0, gap_s)
     return sorted(events, key=lambda event: event.at)
--- a/packages/lavenderway-dev/lavenderway_dev/store_standin.py
+++ b/packages/lavenderway-dev/lavenderway_dev/store_standin.py
@@ -172,7 +172,7 @@
 FIRST_LOCK_PORT = 9_900  # one per range, bound by the process that owns the range
 
 # Bounded, so that ports returned long ago may be returned again.
-_recent_ports: deque[int] = deque(maxlen=PORTS_PER_PROCESS // 2)
+_recent_ports: deque[int] = deque(maxlen=PORTS_PER_PROCESS * 9 // 10)
 _range_locks: list[socket.socket] = []
 
 
--- a/tests/dev/test_soak.py
+++ b/tests/dev/test_soak.py
@@ -11,10 +11,14 @@
 from lavenderway_dev.soak import SERVICES_BY_PREFIX, run_soak
 from lavenderway_dev.soak_checks import (
     DRAIN_GRACE_S,
+    DROP_SLACK_S,
+    RESET_DROP_SLACK_S,
     ClientRequest,
     Execution,
     Invariant,
     Observations,
+    RunEnd,
+    Stop,
 )
 from lavenderway_dev.soak_faults import PLANNED_KINDS, generate_events
 from lavenderway_dev.soak_link import LinkFault, LinkProxy
@@ -131,6 +135,86 @@
             self.assertEqual(set(), self.check(sent, make_execution()))
 
 
+class BrokenRequests(unittest.TestCase):
+    """Planned operations may break requests in the permitted cases only."""
+
+    def check(
+        self, sent: ClientRequest, *executions: Execution, **observations: Any
+    ) -> set[Invariant]:
+        found = Observations(
+            sent={sent.id: sent}, executions=list(executions), **observations
+        )
+        findings = found.check(services=SERVICES_BY_PREFIX, rates={}, planned_only=True)
+        return {finding.invariant for finding in findings}
+
+    def broken(self, **changes: Any) -> ClientRequest:
+        values: dict[str, Any] = {
+            "status": None,
+            "body": b"",
+            "connection_broken": True,
+            "host": "h1",
+            "limit_s": 6.0,
+            "ended_at": 0.5,
+        }
+        return make_request(**(values | changes))
+
+    def test_forwarded_request_behind_another(self) -> None:
+        found = self.check(self.broken(behind=True), make_execution())
+        self.assertEqual({Invariant.PLANNED_OPERATION}, found)
+
+    def test_response_of_the_node_while_the_upstream_works(self) -> None:
+        for status in (502, 503, 504):
+            sent = self.broken(
+                status=status, connection_broken=False, at_most_once=False
+            )
+            found = self.check(sent, make_execution())
+            self.assertEqual({Invariant.PLANNED_OPERATION}, found)
+
+    def test_refusal_after_the_run_has_ended(self) -> None:
+        sent = self.broken(status=503, connection_broken=False, at_most_once=False)
+        ends = {("1", "i-1"): RunEnd(0.4, completed=True)}
+        self.assertEqual(set(), self.check(sent, make_execution(), run_ends=ends))
+
+    def test_request_that_reached_its_time_limit(self) -> None:
+        sent = self.broken(status=504, connection_broken=False, ended_at=6.0)
+        self.assertEqual(set(), self.check(sent, make_execution()))
+
+    def test_upstream_that_ended(self) -> None:
+        sent = self.broken(ended_at=2.0)
+        run = make_execution(started_at=1.0)
+        ends = {("1", "i-1"): RunEnd(1.5, completed=False)}
+        for stopped_at, expected in (
+            (1.5, set()),
+            (0.5, {Invariant.PLANNED_OPERATION}),
+        ):
+            found = self.check(
+                sent, run, run_ends=ends, upstreams_stopped_at={"i-1": stopped_at}
+            )
+            self.assertEqual(expected, found)
+
+    def test_long_request_at_the_end_of_the_grace_period(self) -> None:
+        stops = [Stop("h1", 1.0)]
+        for sent_at, run_ended_at, expected in (
+            (3.9, 6.2, set()),
+            (4.1, 6.2, {Invariant.PLANNED_OPERATION}),
+            (3.9, 5.8, {Invariant.PLANNED_OPERATION}),
+        ):
+            sent = self.broken(sent_at=sent_at, ended_at=6.3)
+            ends = {("1", "i-1"): RunEnd(run_ended_at, completed=False)}
+            run = make_execution(started_at=sent_at)
+            found = self.check(sent, run, run_ends=ends, stops=stops)
+            self.assertEqual(expected, found)
+
+    def test_dropped_request_that_has_not_run(self) -> None:
+        for slack_s, is_reset in ((DROP_SLACK_S, False), (RESET_DROP_SLACK_S, True)):
+            late = self.broken(connection_reset=is_reset, ended_at=slack_s + 0.1)
+            self.assertEqual({Invariant.NOT_DROPPED}, self.check(late))
+            late.behind = True
+            self.assertEqual(set(), self.check(late))
+            early = self.broken(connection_reset=is_reset, ended_at=slack_s - 0.1)
+            self.assertEqual(set(), self.check(early))
+
+
 class PortAllocation(unittest.TestCase):
     """Concurrent runs on one machine use different ports."""
 
@@ -158,7 +242,7 @@
     def test_same_seed_gives_same_events(self) -> None:
         generated = [
             generate_events(
-                random.Random(4), ["a", "b"], seconds=8.0, planned_only=False
+                random.Random(4), [["a", "b"], ["c"]], seconds=8.0, planned_only=False
             )
             for _ in range(2)
         ]
@@ -167,7 +251,7 @@
     def test_planned_operations_only(self) -> None:
         for seed in range(20):
             events = generate_events(
-                random.Random(seed), ["a"], seconds=8.0, planned_only=True
+                random.Random(seed), [["a"]], seconds=8.0, planned_only=True
             )
             self.assertLessEqual({event.kind for event in events}, set(PLANNED_KINDS))
 
@@ -235,7 +319,7 @@
 
 
 class ShortSoaks(unittest.IsolatedAsyncioTestCase):
-    """Real processes under random faults; seed 3 has planned operations only."""
+    """Real processes under random faults; odd seeds have planned operations only."""
 
     async def test_no_invariant_is_violated(self) -> None:
         for seed in (3, *FAILED_SEEDS):
