Restore the store from an older copy in the soak

The platform's store may be away for a moment and come back with an older state, which no event of the soak covered. The new event does both, after which the operator writes its configuration again.

--- a/packages/lavenderway-dev/lavenderway_dev/soak.py
+++ b/packages/lavenderway-dev/lavenderway_dev/soak.py
@@ -68,6 +68,7 @@
 POLL_INTERVAL_S = 0.02
 UPSTREAM_DRAIN_S = 2.5  # an upstream keeps serving after it announces draining
 RECOVERY_TIMEOUT_S = 15.0
+STORE_RESTORE_S = 0.5  # until the store has an older state, and until it is rewritten
 CONFIG_APPLY_TIME_S = 2.0
 RECOVERY_STREAK = 20  # consecutive served requests after which a host has recovered
 RECOVERY_PAUSE_S = 0.01
@@ -553,6 +554,24 @@
     soak.fleet.store.compact()
 
 
+@_register_handler(EventKind.STORE_RESTORES)
+async def _restore_store(soak: Soak, event: Event) -> None:
+    """Make the store unavailable for a moment and restore an older copy of it.
+
+    The operator then writes its configuration again.
+    """
+    copy = soak.fleet.store.save_copy()
+    await asyncio.sleep(event.duration_s)
+    for host in soak.fleet.hosts.values():
+        host.faults.refuse_with = 503
+    await asyncio.sleep(STORE_RESTORE_S)
+    soak.fleet.store.restore(copy)
+    for host in soak.fleet.hosts.values():
+        host.faults.refuse_with = 0
+    await asyncio.sleep(STORE_RESTORE_S)
+    soak.fleet.configure(soak.fleet.config)
+
+
 @_register_handler(EventKind.STORE_LINK)
 @_register_handler(EventKind.PEERS_LINK)
 @_register_handler(EventKind.UPSTREAM_LINK)
--- a/packages/lavenderway-dev/lavenderway_dev/soak_faults.py
+++ b/packages/lavenderway-dev/lavenderway_dev/soak_faults.py
@@ -37,6 +37,7 @@
     STORE_SLOW = "store-slow"
     STORE_LOSES_RESPONSES = "store-loses-answers"
     STORE_COMPACTS = "store-compacts"
+    STORE_RESTORES = "store-restores"
     STORE_LINK = "store-link"
     PEERS_LINK = "peers-link"
     UPSTREAM_LINK = "upstream-link"
