--- a/packages/lavenderway-dev/lavenderway_dev/soak.py
+++ b/packages/lavenderway-dev/lavenderway_dev/soak.py
@@ -226,11 +226,13 @@
             self._clients.start()
             await asyncio.gather(*(self._run_event(event) for event in events))
             self._clear_faults()
+            await self._wait_for_stopping_nodes()
             await self._check_recovery()
             await self._check_configuration()
             await self._clients.stop()
             for task in supervisors:
                 task.cancel()
+            await asyncio.gather(*supervisors, return_exceptions=True)
             findings = self.observations.check(
                 services=SERVICES_BY_PREFIX,
                 rates=WORKSPACE_LIMITS,
@@ -317,7 +319,7 @@
     def _end_grace_period(
         self, host: RelayHost, process: asyncio.subprocess.Process
     ) -> None:
-        if process.returncode is not None:
+        if host.process is not process or process.returncode is not None:
             return
         if self.planned_only:
             self.observations.record_violation(
@@ -325,7 +327,12 @@
                 f"{host.plan.name}: still running {STOP_GRACE_S} s after SIGTERM",
             )
         with contextlib.suppress(ProcessLookupError):
-            process.kill()
+            host.signal(signal.SIGKILL)
+
+    async def _wait_for_stopping_nodes(self) -> None:
+        """Wait until all nodes that received SIGTERM have ended."""
+        for process in self._stopping:
+            await process.wait()
 
     async def wait_for_restart(self, host: RelayHost) -> bool:
         """Wait for the next process of a host; return whether it has started."""
--- a/packages/lavenderway-dev/lavenderway_dev/soak_checks.py
+++ b/packages/lavenderway-dev/lavenderway_dev/soak_checks.py
@@ -67,6 +67,7 @@
         body_bytes: Size of the response body beyond its first line.
         host: Name of the host whose node received the request.
         behind: Whether an earlier request on the connection was unanswered.
+        unread_s: Time for which the client read nothing before the result, in seconds.
         ended_at: When the response or the end of the connection was received; None
             if the client received neither.
         status: Status of the response; None without a complete response.
@@ -85,6 +86,7 @@
     body_bytes: int = 0
     host: str = ""
     behind: bool = False
+    unread_s: float = 0.0
     ended_at: float | None = None
     status: int | None = None
     connection_broken: bool = False
@@ -248,6 +250,7 @@
             invariant = Invariant.PLANNED_OPERATION
         else:
             slack_s = RESET_DROP_SLACK_S if sent.connection_reset else DROP_SLACK_S
+            waited_s -= sent.unread_s
             if not sent.connection_broken or sent.behind or waited_s <= slack_s:
                 return
             invariant = Invariant.NOT_DROPPED
--- a/packages/lavenderway-dev/lavenderway_dev/soak_clients.py
+++ b/packages/lavenderway-dev/lavenderway_dev/soak_clients.py
@@ -422,7 +422,9 @@
     while not clients.is_ending:
         connection = await clients.connect(host, SO_RCVBUF=SLOW_READER_BUFFER_BYTES)
         while connection is not None and not connection.closed:
-            connection.send(*clients.create_request(host, BIG_WORKLOAD))
+            request, data = clients.create_request(host, BIG_WORKLOAD)
+            request.unread_s = SLOW_READER_PAUSE_S
+            connection.send(request, data)
             connection.pause_reading()
             await asyncio.sleep(SLOW_READER_PAUSE_S)
             connection.resume_reading()
--- a/tests/dev/test_soak.py
+++ b/tests/dev/test_soak.py
@@ -211,6 +211,8 @@
             self.assertEqual({Invariant.NOT_DROPPED}, self.check(late))
             late.behind = True
             self.assertEqual(set(), self.check(late))
+            late.behind, late.unread_s = False, 0.6
+            self.assertEqual(set(), self.check(late))
             early = self.broken(connection_reset=is_reset, ended_at=slack_s - 0.1)
             self.assertEqual(set(), self.check(early))
 
