Send fewer requests per client in large soaks and share equal bodies

At 60 hosts the soak's own process grew by 10 MB a second to 858 MB, because each large response body was kept, and pipelining clients ignored the size of the fleet.

--- a/packages/lavenderway-dev/lavenderway_dev/soak_clients.py
+++ b/packages/lavenderway-dev/lavenderway_dev/soak_clients.py
@@ -7,6 +7,7 @@
 import itertools
 import socket
 from collections import deque
+from functools import lru_cache
 from typing import TYPE_CHECKING, NamedTuple, cast
 
 import httptools
@@ -182,7 +183,7 @@
             return
         request, done = self._pending.popleft()
         request.status = self._parser.get_status_code()
-        request.body = b"".join(self._body)
+        request.body = _share_body(b"".join(self._body))
         request.ended_at = self._loop.time()
         if not done.done():
             done.set_result(None)
@@ -253,10 +254,14 @@
         self.is_ending = True
         await asyncio.gather(*self._tasks)
 
+    @property
+    def scale(self) -> float:
+        """Factor by which the clients of a large fleet send more slowly."""
+        return max(1.0, len(self._fleet.hosts) / BASE_HOSTS)
+
     async def pause(self, mean_s: float) -> None:
         """Pause between two requests for a random time, longer in large fleets."""
-        scale = max(1.0, len(self._fleet.hosts) / BASE_HOSTS)
-        await asyncio.sleep(self.rng.expovariate(1 / (mean_s * scale)))
+        await asyncio.sleep(self.rng.expovariate(1 / (mean_s * self.scale)))
 
     def create_request(
         self, host: str, workload: Workload
@@ -382,7 +387,7 @@
             if connection.depth >= clients.rng.randint(2, MAX_PIPELINE_DEPTH):
                 if not await _wait_for_first(connection):
                     connection.abort()
-            elif connection.depth > 1:
+            elif connection.depth > 1 or clients.scale > 1.0:
                 await clients.pause(KEPT_MEAN_PAUSE_S)
             if clients.is_ending:
                 while connection.depth and await _wait_for_first(connection):
@@ -430,6 +435,8 @@
             connection.resume_reading()
             if not await _wait_for_first(connection) or clients.is_ending:
                 connection.abort()
+            elif clients.scale > 1.0:
+                await clients.pause(CLIENT_MEAN_PAUSE_S)
 
 
 @_register_client
@@ -449,6 +456,12 @@
         await clients.pause(LEAVING_CLIENT_PAUSE_S)
 
 
+@lru_cache(maxsize=64)
+def _share_body(body: bytes) -> bytes:
+    """Return one object for all equal bodies, which saves memory."""
+    return body
+
+
 def _is_reset(error: ConnectionBrokenError) -> bool:
     """Return whether a connection of a pool was reset rather than closed."""
     return str(error) != "connection lost"
