--- a/packages/lavenderway-relay/lavenderway_relay/server.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server.py
@@ -28,6 +28,11 @@
 MAX_PIPELINED_REQUESTS = 64  # per connection; reading pauses at this number
 DISCONNECT_CHECK_DELAY_S = 0.001  # any positive delay lets the loop read the socket
 HEADER_OVERHEAD_BYTES = 4  # colon, space, CR and LF
+# Time in which a client closes a connection that the server has closed in its
+# direction, in seconds. Closing at once would reset the connection if the client has
+# sent more, and the reset could destroy the last response on its way.
+LINGER_TIMEOUT_S = 1.0
+FIRST_REQUEST_DELAY_S = 0.2  # a new connection's first request arrives within this time
 
 
 class _PendingRequest:
@@ -64,6 +69,7 @@
         "_headers",
         "_in_message",
         "_keep_alive",
+        "_linger_timer",
         "_parser",
         "_partial_head_bytes",
         "_pending",
@@ -96,6 +102,7 @@
         self._writing_paused = False
         self._discarding = False
         self._refusal_status = 0
+        self._linger_timer: asyncio.TimerHandle | None = None
         self.closing = False
         self.idle_since = server.loop.time()
         self.message_since: float | None = None
@@ -110,6 +117,11 @@
         """Whether a request head has been received in part."""
         return self.message_since is not None
 
+    @property
+    def unwritten_bytes(self) -> int:
+        """Number of response bytes that the client has not taken yet."""
+        return self._transport.get_write_buffer_size()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the server."""
         self._transport = cast("asyncio.Transport", transport)
@@ -119,6 +131,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the connection's pending requests."""
         self._server.connections.discard(self)
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
         self._cancel_pending()
 
     def eof_received(self) -> bool:
@@ -223,6 +237,13 @@
         if not self.busy:
             self._close()
 
+    def take_no_more(self) -> None:
+        """Discard further input and close after the last pending response."""
+        self._discarding = True
+        self._in_message = False
+        self.message_since = None
+        self.close_when_idle()
+
     def abort(self) -> None:
         """Abort the connection without writing pending responses."""
         self._transport.abort()
@@ -241,11 +262,12 @@
             response = self._pending.popleft().response
             assert response is not None
             last = not self._pending and not self._in_message
-            stopping = self._server.stopping and last
-            close = (not self._keep_alive and last) or stopping
+            stopping = self._server.stopping or not self._keep_alive
+            close = (stopping and last) or not response.reusable
             pieces.append(encode_response(response, close=close))
             if close:
                 self._transport.write(b"".join(pieces))
+                self._cancel_pending()
                 self._close()
                 return
         if pieces and not self.closing:
@@ -270,12 +292,26 @@
         self._flush()
 
     def _close(self) -> None:
+        """Close the sending direction, then the connection once the client closes."""
+        if self._linger_timer is not None or self._transport.is_closing():
+            return
         self.closing = True
-        self._transport.close()
+        self._discarding = True
+        self._transport.write_eof()
+        if self._reading_paused:
+            self._reading_paused = False
+            self._transport.resume_reading()
+        self._linger_timer = self._server.loop.call_later(
+            LINGER_TIMEOUT_S, self._transport.close
+        )
 
     def _update_reading(self) -> None:
         pause = self._writing_paused or len(self._pending) >= MAX_PIPELINED_REQUESTS
-        if pause is self._reading_paused or self._transport.is_closing():
+        if (
+            self.closing
+            or pause is self._reading_paused
+            or self._transport.is_closing()
+        ):
             return
         self._reading_paused = pause
         if pause:
@@ -340,6 +376,7 @@
                 connection.abort()
             elif (
                 not connection.busy
+                and not connection.closing
                 and now - connection.idle_since > limits.idle_timeout_s
             ):
                 connection.close_when_idle()
@@ -352,17 +389,28 @@
         """Close each connection after the response to its last pending request."""
         self.stopping = True
 
-    def close_when_idle(self) -> None:
-        """Close idle connections now and the others after their last response."""
+    def close_when_idle(self, now: float) -> None:
+        """Close idle connections now and the others after their last response.
+
+        New connections stay open until their first request.
+        """
         for connection in tuple(self.connections):
-            connection.close_when_idle()
+            if connection.busy or now - connection.idle_since > FIRST_REQUEST_DELAY_S:
+                connection.close_when_idle()
 
     @property
     def busy(self) -> bool:
         """Whether a request is being read or processed on any connection."""
         return any(connection.busy for connection in self.connections)
 
+    @property
+    def unwritten_bytes(self) -> int:
+        """Number of response bytes that the clients have not taken yet."""
+        return sum(connection.unwritten_bytes for connection in self.connections)
+
     def close(self) -> None:
-        """Stop accepting connections; open ones stay open."""
+        """Stop accepting connections and requests; pending ones get their responses."""
         if self._server is not None:
             self._server.close()
+        for connection in tuple(self.connections):
+            connection.take_no_more()
