--- a/packages/lavenderway-dev/lavenderway_dev/soak.py
+++ b/packages/lavenderway-dev/lavenderway_dev/soak.py
@@ -50,6 +50,7 @@
 )
 from lavenderway_dev.soak_faults import Event, EventKind, generate_events
 from lavenderway_dev.soak_link import LinkFault, LinkProxy
+from lavenderway_dev.soak_seeds import list_failed_seeds
 from lavenderway_dev.store_standin import allocate_port
 
 if TYPE_CHECKING:
@@ -616,6 +617,9 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1, help="first seed")
     parser.add_argument("--count", type=int, default=1, help="number of seeds")
+    parser.add_argument(
+        "--failed", action="store_true", help="run the seeds of former failures instead"
+    )
     parser.add_argument(
         "--seconds", type=float, default=8.0, help="period in which faults start"
     )
@@ -624,8 +628,12 @@
         "--logs", type=Path, default=None, help="folder for the logs of failed runs"
     )
     arguments = parser.parse_args()
+    # Either signal must end the nodes as well; background jobs ignore SIGINT.
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, signal.default_int_handler)
     failed = 0
-    for seed in range(arguments.seed, arguments.seed + arguments.count):
+    seeds = list(range(arguments.seed, arguments.seed + arguments.count))
+    for seed in list_failed_seeds() if arguments.failed else seeds:
         logs = arguments.logs / str(seed) if arguments.logs is not None else None
         findings = asyncio.run(
             run_soak(
--- /dev/null
+++ b/packages/lavenderway-dev/lavenderway_dev/soak_seeds.py
@@ -0,0 +1,37 @@
+"""Seeds of former soak failures, which are run again as regression cases."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+
+class Cause(Enum):
+    """Causes of former failures; the value describes the fault."""
+
+    TAKEN_PORT = "a concurrent run took the port of a node that was restarting"
+    UNBOUNDED_INTAKE = "a stopping node took requests until it exited, and dropped them"
+    SLOW_READER = "a response was reset 1.5 s after its reader's window first closed"
+    CANCELLED_ATTEMPT = (
+        "an overdue attempt was cancelled although no other host had room"
+    )
+    LATE_EXIT = "a node that lacked processor time exited after its grace period"
+    STOPPING_HOST = "the soak took a node that was still stopping for a recovered one"
+
+
+# The first seed of each cause also runs in CI.
+FAILED_SEEDS: dict[Cause, tuple[int, ...]] = {
+    Cause.TAKEN_PORT: (106,),
+    Cause.UNBOUNDED_INTAKE: (
+        *(1, 5, 7, 9, 11, 13, 15, 17, 19, 21, 23, 25, 27, 29, 31, 33, 37),
+        *(39, 41, 43, 47, 49, 51, 53, 55, 57, 59),
+    ),
+    Cause.SLOW_READER: (3, 35, 45),  # and all seeds above and below
+    Cause.CANCELLED_ATTEMPT: (21, 5, 25),
+    Cause.LATE_EXIT: (27, 29),
+    Cause.STOPPING_HOST: (16, 15),
+}
+
+
+def list_failed_seeds() -> list[int]:
+    """Return the seeds of all former failures in ascending order."""
+    return sorted({seed for seeds in FAILED_SEEDS.values() for seed in seeds})
--- a/tests/dev/test_soak.py
+++ b/tests/dev/test_soak.py
@@ -1,4 +1,4 @@
-"""Tests of the soak's invariants, ports, events and proxies, and two short runs."""
+"""Tests of the soak's invariants, ports, events and proxies, and regression runs."""
 
 import asyncio
 import contextlib
@@ -22,6 +22,7 @@
 )
 from lavenderway_dev.soak_faults import PLANNED_KINDS, generate_events
 from lavenderway_dev.soak_link import LinkFault, LinkProxy
+from lavenderway_dev.soak_seeds import FAILED_SEEDS, Cause
 from lavenderway_dev.store_standin import PORTS_PER_PROCESS, allocate_port
 from lavenderway_relay.model import Address
 
@@ -315,15 +316,29 @@
             await self.send_and_receive()
 
 
-# Seeds of former failures.
-# 106: a concurrent run took the port of a node while the node was restarting.
-FAILED_SEEDS = (106,)
+class RegressionSoaks(unittest.IsolatedAsyncioTestCase):
+    """Real processes under random faults; odd seeds have planned operations only.
 
+    The first seed of each former failure is run.
+    """
 
-class ShortSoaks(unittest.IsolatedAsyncioTestCase):
-    """Real processes under random faults; odd seeds have planned operations only."""
+    async def check(self, cause: Cause) -> None:
+        self.assertEqual([], await run_soak(seed=FAILED_SEEDS[cause][0]))
 
-    async def test_no_invariant_is_violated(self) -> None:
-        for seed in (3, *FAILED_SEEDS):
-            with self.subTest(seed):
-                self.assertEqual([], await run_soak(seed=seed, seconds=4.0))
+    async def test_port_of_restarting_node_is_taken(self) -> None:
+        await self.check(Cause.TAKEN_PORT)
+
+    async def test_stopping_node_drops_requests_taken_too_late(self) -> None:
+        await self.check(Cause.UNBOUNDED_INTAKE)
+
+    async def test_response_to_slow_reader_is_reset(self) -> None:
+        await self.check(Cause.SLOW_READER)
+
+    async def test_attempt_is_cancelled_although_no_other_host_has_room(self) -> None:
+        await self.check(Cause.CANCELLED_ATTEMPT)
+
+    async def test_node_exits_after_its_grace_period(self) -> None:
+        await self.check(Cause.LATE_EXIT)
+
+    async def test_stopping_host_is_taken_for_a_recovered_one(self) -> None:
+        await self.check(Cause.STOPPING_HOST)
