--- a/packages/lavenderway-relay/lavenderway_relay/server.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server.py
@@ -14,7 +14,11 @@
 
 import httptools
 
-from lavenderway_relay._sockets import bind_socket, set_unacknowledged_timeout
+from lavenderway_relay._sockets import (
+    bind_socket,
+    count_unacknowledged_bytes,
+    set_unacknowledged_timeout,
+)
 from lavenderway_relay.messages import Request, encode_response
 from lavenderway_relay.model import Limits
 
@@ -26,12 +30,10 @@
     from lavenderway_relay.model import Address
 
 MAX_PIPELINED_REQUESTS = 64  # per connection; reading pauses at this number
-DISCONNECT_CHECK_DELAY_S = 0.001  # any positive delay lets the loop read the socket
+READ_DELAY_S = 0.001  # any positive delay lets the loop read the socket
+UNACKNOWLEDGED_TIMEOUT_MS = 15_000  # longer than callers wait for a response
+LINGER_TIMEOUT_S = 1.0  # for the client to close after its last response
 HEADER_OVERHEAD_BYTES = 4  # colon, space, CR and LF
-# Time in which a client closes a connection that the server has closed in its
-# direction, in seconds. Closing at once would reset the connection if the client has
-# sent more, and the reset could destroy the last response on its way.
-LINGER_TIMEOUT_S = 1.0
 FIRST_REQUEST_DELAY_S = 0.2  # a new connection's first request arrives within this time
 
 
@@ -55,8 +57,8 @@
         closing: Whether the connection is closed or about to close.
         idle_since: When the connection was made or last written to, in event loop
             seconds.
-        message_since: When the request head being read began, in event loop
-            seconds; None if no head is being read.
+        message_since: When the request head being read began, or reading resumed, in
+            event loop seconds; None if no head is being read.
 
     """
 
@@ -70,6 +72,7 @@
         "_in_message",
         "_keep_alive",
         "_linger_timer",
+        "_message_completed",
         "_parser",
         "_partial_head_bytes",
         "_pending",
@@ -98,11 +101,12 @@
         self._expects_continue = False
         self._in_message = False
         self._keep_alive = True
+        self._linger_timer: asyncio.TimerHandle | None = None
+        self._message_completed = False
         self._reading_paused = False
         self._writing_paused = False
         self._discarding = False
         self._refusal_status = 0
-        self._linger_timer: asyncio.TimerHandle | None = None
         self.closing = False
         self.idle_since = server.loop.time()
         self.message_since: float | None = None
@@ -122,10 +126,15 @@
         """Number of response bytes that the client has not taken yet."""
         return self._transport.get_write_buffer_size()
 
+    @property
+    def has_unread_response(self) -> bool:
+        """Whether the client has not received all written responses yet."""
+        return bool(count_unacknowledged_bytes(self._transport))
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the server."""
         self._transport = cast("asyncio.Transport", transport)
-        set_unacknowledged_timeout(transport)
+        set_unacknowledged_timeout(transport, self._server.unacknowledged_timeout_ms)
         self._server.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -161,14 +170,17 @@
         """Parse received bytes."""
         if self._discarding:
             return
+        self._message_completed = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._refuse(HTTPStatus.BAD_REQUEST)
         except httptools.HttpParserError:
-            self._refuse(self._refusal_status or HTTPStatus.BAD_REQUEST)
+            if not self._discarding:
+                self._refuse(self._refusal_status or HTTPStatus.BAD_REQUEST)
         else:
-            if self.message_since is not None:
+            # Behind a complete request, the length of the begun head is not known.
+            if self.message_since is not None and not self._message_completed:
                 self._check_partial_head_size(len(data))
 
     def _check_partial_head_size(self, byte_count: int) -> None:
@@ -207,8 +219,7 @@
         size = self._head_bytes + len(self._target)
         if size > self._server.limits().head_bytes:
             self._stop_parsing(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-        if self._expects_continue and not self._pending:
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._send_continue()
 
     def on_body(self, body: bytes) -> None:
         """Append a fragment of the body, up to the size limit."""
@@ -220,8 +231,10 @@
     def on_message_complete(self) -> None:
         """Start processing the complete request."""
         self._in_message = False
+        self._message_completed = True
         if not self._parser.should_keep_alive():
             self._keep_alive = False
+            self._discarding = True
         body = b"".join(self._body)
         method = self._parser.get_method()
         request = Request(method, self._target, self._headers, body)
@@ -234,8 +247,43 @@
     def close_when_idle(self) -> None:
         """Close now if no request is in progress, else after the last response."""
         self._keep_alive = False
-        if not self.busy:
+        if self.busy or self.closing:
+            return
+        if self.has_unread_response:
             self._close()
+        else:
+            self.closing = True
+            self._transport.close()
+
+    def is_head_late(self, now: float, timeout_s: float) -> bool:
+        """Return whether the client takes too long to send a request head.
+
+        Args:
+            now: Event loop time, in seconds.
+            timeout_s: Longest time for a head to arrive, in seconds.
+
+        """
+        since = self.message_since
+        if since is None or self.closing or self._reading_paused:
+            return False
+        return now - since > timeout_s
+
+    def is_idle(self, now: float, timeout_s: float) -> bool:
+        """Return whether no request has been in progress for longer than a timeout.
+
+        Args:
+            now: Event loop time, in seconds.
+            timeout_s: Idle timeout, in seconds.
+
+        """
+        return not self.busy and not self.closing and now - self.idle_since > timeout_s
+
+    def refuse_late_head(self) -> None:
+        """Close the connection after the responses to earlier requests."""
+        if self._pending or self.has_unread_response:
+            self._refuse(HTTPStatus.REQUEST_TIMEOUT)
+        else:
+            self.abort()
 
     def take_no_more(self) -> None:
         """Discard further input and close after the last pending response."""
@@ -246,15 +294,25 @@
 
     def abort(self) -> None:
         """Abort the connection without writing pending responses."""
+        self.closing = True
         self._transport.abort()
 
     async def _respond(self, pending: _PendingRequest, request: Request) -> None:
         if self._server.may_be_lagging():
             # The client may have disconnected since it sent the request. The delay lets
             # the event loop process the disconnect first, which cancels this task.
-            await asyncio.sleep(DISCONNECT_CHECK_DELAY_S)
+            await asyncio.sleep(READ_DELAY_S)
         pending.response = await self._server.serve(request)
         self._flush()
+        self._send_continue()
+
+    def _send_continue(self) -> None:
+        """Send `100 Continue` if the client waits for it and no response is due."""
+        if not self._expects_continue or self._pending or self.closing:
+            return
+        if self._in_message and not self.reading_head:
+            self._expects_continue = False
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _flush(self) -> None:
         pieces = []
@@ -292,31 +350,42 @@
         self._flush()
 
     def _close(self) -> None:
-        """Close the sending direction, then the connection once the client closes."""
-        if self._linger_timer is not None or self._transport.is_closing():
-            return
+        """Close the connection once the client has received its responses.
+
+        Sends an end of stream, then reads and discards input until the client closes.
+        Closing a socket with unread input resets the connection, and the reset would
+        discard the part of a response that the client has not received.
+        """
         self.closing = True
         self._discarding = True
-        self._transport.write_eof()
-        if self._reading_paused:
-            self._reading_paused = False
-            self._transport.resume_reading()
+        if not self._transport.is_closing():
+            self._transport.write_eof()
+            self._update_reading()
+            self._linger()
+
+    def _linger(self) -> None:
         self._linger_timer = self._server.loop.call_later(
-            LINGER_TIMEOUT_S, self._transport.close
+            LINGER_TIMEOUT_S, self._finish_lingering
         )
 
+    def _finish_lingering(self) -> None:
+        if self.has_unread_response:
+            self._linger()
+        else:
+            self._transport.close()
+
     def _update_reading(self) -> None:
-        pause = self._writing_paused or len(self._pending) >= MAX_PIPELINED_REQUESTS
-        if (
-            self.closing
-            or pause is self._reading_paused
-            or self._transport.is_closing()
-        ):
+        pause = not self.closing and (
+            self._writing_paused or len(self._pending) >= MAX_PIPELINED_REQUESTS
+        )
+        if pause is self._reading_paused or self._transport.is_closing():
             return
         self._reading_paused = pause
         if pause:
             self._transport.pause_reading()
         else:
+            if self.message_since is not None:
+                self.message_since = self._server.loop.time()
             self._transport.resume_reading()
 
 
@@ -329,6 +398,8 @@
         refuse: Returns the response to input that is malformed or exceeds a limit,
             given the status code to use.
         limits: Returns the present size limits and timeouts.
+        unacknowledged_timeout_ms: Time after which a client that takes no more of its
+            responses is treated as lost, in milliseconds.
 
     Attributes:
         connections: The open connections.
@@ -348,15 +419,19 @@
         serve: Callable[[Request], Coroutine[Any, Any, Response]],
         refuse: Callable[[int], Response],
         limits: Callable[[], Limits] = Limits,
+        unacknowledged_timeout_ms: int = UNACKNOWLEDGED_TIMEOUT_MS,
     ) -> None:
         self.loop = loop
         self.serve = serve
         self.refuse = refuse
         self.limits = limits
+        self.unacknowledged_timeout_ms = unacknowledged_timeout_ms
         self.connections: set[ServerConnection] = set()
         self.stopping = False
         self.lagging = False
         self.next_tick_deadline = math.inf
+        self._idle_timeout_s = 0.0
+        self._idle_timeout_confirmed_at = 0.0
         self._server: asyncio.Server | None = None
 
     async def listen(self, address: Address) -> None:
@@ -368,19 +443,46 @@
         )
 
     def close_idle(self, now: float) -> None:
-        """Close idle connections; abort those whose request head takes too long."""
-        limits = self.limits()
-        for connection in tuple(self.connections):
-            since = connection.message_since
-            if since is not None and now - since > limits.head_timeout_s:
-                connection.abort()
-            elif (
-                not connection.busy
-                and not connection.closing
-                and now - connection.idle_since > limits.idle_timeout_s
-            ):
+        """Close connections that are idle or whose request head takes too long.
+
+        Input that has arrived is read first, as the event loop may not have run for
+        some time, for example because the process was suspended.
+        """
+        head_timeout_s = self.limits().head_timeout_s
+        idle_timeout_s = self._update_idle_timeout(now)
+        overdue = []
+        for connection in self.connections:
+            if connection.is_head_late(now, head_timeout_s):
+                overdue.append(connection)
+            elif connection.is_idle(now, idle_timeout_s):
+                if connection.has_unread_response:
+                    connection.idle_since = now
+                else:
+                    overdue.append(connection)
+        if overdue:
+            self.loop.call_later(READ_DELAY_S, self._close_overdue, overdue, now)
+
+    def _close_overdue(self, connections: list[ServerConnection], now: float) -> None:
+        head_timeout_s = self.limits().head_timeout_s
+        for connection in connections:
+            if connection.is_head_late(now, head_timeout_s):
+                connection.refuse_late_head()
+            elif connection.is_idle(now, self._idle_timeout_s):
                 connection.close_when_idle()
 
+    def _update_idle_timeout(self, now: float) -> float:
+        """Return the idle timeout in force.
+
+        A lowered limit takes effect after the time of the older one, by which the
+        clients that know only that have used or left their idle connections.
+        """
+        limit_s = self.limits().idle_timeout_s
+        unchanged_s = now - self._idle_timeout_confirmed_at
+        if limit_s >= self._idle_timeout_s or unchanged_s > self._idle_timeout_s:
+            self._idle_timeout_s = limit_s
+            self._idle_timeout_confirmed_at = now
+        return self._idle_timeout_s
+
     def may_be_lagging(self) -> bool:
         """Return whether requests may be read long after they arrived."""
         return self.lagging or self.loop.time() > self.next_tick_deadline
