--- a/tests/end_to_end/test_relay_fleet.py
+++ b/tests/end_to_end/test_relay_fleet.py
@@ -433,7 +433,8 @@
         self.assertEqual(0, await self.entry.wait())
 
     async def test_response_to_slow_reader_is_completed(self) -> None:
-        self.back.server.padding_bytes = 8_000_000
+        size = 8_000_000
+        self.back.server.plan.padding_bytes["/back/x"] = size
         self.entry.signal(signal.SIGTERM)
         await asyncio.sleep(self.BEFORE_IDLE_EXIT_S)
         reader, writer = await asyncio.open_connection(
@@ -445,7 +446,7 @@
         while data := await reader.read(100_000):
             received += len(data)
             await asyncio.sleep(0.015)
-        self.assertGreater(received, self.back.server.padding_bytes)
+        self.assertGreater(received, size)
 
     async def test_departure_is_stored_before_the_exit(self) -> None:
         self.back.signal(signal.SIGTERM)
