Keep an overdue attempt until another host has responded

What callers saw: 502 or 504 in place of the response that an upstream was preparing. An attempt that took longer than its timeout was cancelled before another host had taken the request.

Change: each attempt is a task. An overdue one goes on beside the next, the first usable response is delivered and the others are cancelled. If no other host takes the request, the overdue attempts have the rest of its time.

--- a/packages/lavenderway-relay/lavenderway_relay/caller_handler.py
+++ b/packages/lavenderway-relay/lavenderway_relay/caller_handler.py
@@ -25,7 +25,7 @@
 )
 from lavenderway_relay.peer_client import BORROW_TIMEOUT_S
 from lavenderway_relay.refusals import Refusal, refuse
-from lavenderway_relay.request_context import RequestContext
+from lavenderway_relay.request_context import Attempt, RequestContext
 from lavenderway_relay.retry_budget import RetryBudget
 from lavenderway_relay.revision import NO_REVISION
 from lavenderway_relay.upstream_runner import UpstreamResult
@@ -155,17 +155,15 @@
         try:
             return await self._route_request(context)
         except asyncio.CancelledError:
-            # One cancellation may come from the deadline and one from an attempt
-            # timeout; any other one comes from the caller's connection.
-            expected_cancellations = int(context.expired) + int(
-                context.attempt_timed_out
-            )
-            remaining = [task.uncancel() for _ in range(expected_cancellations)]
-            if not context.expired or remaining[-1] > 0:
+            # One cancellation may come from the deadline; any other one comes from the
+            # caller's connection.
+            if not context.expired or task.uncancel() > 0:
                 raise
             return self._time_out(context)
         finally:
             timer.cancel()
+            for attempt in context.attempts:
+                attempt.task.cancel()
             del self._routing[context]
 
     def interrupt(self, now: float, stop_requested_at: float) -> int:
@@ -190,7 +188,7 @@
                 route=context.route.id,
                 ms=round((now - context.received_at) * 1e3, 1),
                 after_stop_ms=round((context.received_at - stop_requested_at) * 1e3, 1),
-                peer=context.sent_to,
+                peers=[attempt.record.host for attempt in context.attempts],
                 arrivals=context.arrivals,
             )
             context.interrupted = True
@@ -219,7 +217,7 @@
         reached an upstream. An attempt that has just been cancelled counts as in
         progress.
         """
-        if context.in_flight or context.arrivals:
+        if context.attempts or context.arrivals:
             reason = Refusal.INTERRUPTED if context.interrupted else Refusal.TIMED_OUT
             return self._refuse(context.request, reason, context)
         self._refund_token(context)
@@ -334,7 +332,7 @@
         while True:
             record = self._choose_host(context)
             if record is None or len(context.tried) >= MAX_TRIED_HOSTS:
-                return self._fail_request(context)
+                return await self._finish_overdue(context)
             upstream_result = await self._send(context, record)
             hop_response = upstream_result.hop_response
             context.last_outcome = hop_response.outcome
@@ -356,7 +354,7 @@
                 and not retry_charged
                 and not self._try_charge_retry(context)
             ):
-                return self._fail_request(context)
+                return await self._finish_overdue(context)
             if hop_response.arrived:
                 self._log_retry(context, record)
 
@@ -397,66 +395,134 @@
             state.config_version,
             state.host_registry.revision,
         )
-        context.in_flight = True
-        context.sent_at = now
-        context.sent_to = record.host
+        attempt = Attempt(
+            record=record,
+            sent_at=now,
+            task=self._loop.create_task(
+                self._peer_client.send(record, context.request, hop_request)
+            ),
+        )
         state.load_balancer.record_sent(record.host)
-        timer = self._start_attempt_timer(context, now)
-        try:
-            upstream_result = await self._peer_client.send(
-                record, context.request, hop_request
-            )
-        except asyncio.CancelledError:
-            if not self._clear_attempt_timeout(context):
-                raise
+        attempt.task.add_done_callback(
+            lambda _: state.load_balancer.record_done(record.host)
+        )
+        context.attempts.append(attempt)
+        finished = await self._wait_for_response(context, attempt)
+        if finished is None:
             state.load_balancer.record_outcome(
                 record.host, failed=True, now=self._loop.time()
             )
             upstream_result = UpstreamResult(TIMED_OUT_HOP_RESPONSE, None)
-        finally:
-            state.load_balancer.record_done(record.host)
-            if timer is not None:
-                timer.cancel()
-        context.in_flight = False
-        if upstream_result.hop_response.arrived:
-            # Counts the attempts that may have reached an upstream, and those of them
-            # that may have run there; a rejected or misdirected request has not.
-            context.arrivals += 1
-            context.possible_runs += not upstream_result.hop_response.outcome.not_run
-        self._feedback.record_response(context, record, upstream_result)
+        else:
+            upstream_result = self._take_result(context, finished)
+        if finished is attempt or finished is None:
+            self._count_attempt(context, upstream_result.hop_response)
+        return upstream_result
+
+    async def _wait_for_response(
+        self, context: RequestContext, attempt: Attempt
+    ) -> Attempt | None:
+        """Wait for an attempt, or for a usable response to an overdue one before it.
+
+        Returns:
+            The attempt that has finished; None if the last one has timed out.
+
+        """
+        timeout_s = self._attempt_timeout_s(context, attempt.sent_at)
+        timeout_at = None if timeout_s is None else attempt.sent_at + timeout_s
+        while True:
+            done = await self._wait_for_attempts(context, timeout_at)
+            if attempt in done:
+                return attempt
+            if not done:
+                if self._may_time_out(context):
+                    return None
+                timeout_at = None
+            for overdue in done:
+                if self._is_usable(context, overdue.task.result()):
+                    return overdue
+                context.attempts.remove(overdue)
+
+    async def _finish_overdue(self, context: RequestContext) -> Response:
+        """Wait for the overdue attempts, as no other host takes the request."""
+        while context.attempts:
+            for overdue in await self._wait_for_attempts(context, None):
+                upstream_result = self._take_result(context, overdue)
+                response = upstream_result.response
+                if response and self._is_usable(context, upstream_result):
+                    return self._deliver(context, response)
+        return self._fail_request(context)
+
+    async def _wait_for_attempts(
+        self, context: RequestContext, timeout_at: float | None
+    ) -> list[Attempt]:
+        """Wait until an attempt has finished; return those that have.
+
+        Args:
+            context: The request.
+            timeout_at: Time at which the wait ends, in seconds; None for no end.
+
+        """
+        timeout_s = None if timeout_at is None else timeout_at - self._loop.time()
+        await asyncio.wait(
+            [attempt.task for attempt in context.attempts],
+            timeout=timeout_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        return [attempt for attempt in context.attempts if attempt.task.done()]
+
+    def _take_result(self, context: RequestContext, attempt: Attempt) -> UpstreamResult:
+        """Return the result of a finished attempt and record its feedback."""
+        context.attempts.remove(attempt)
+        context.sent_at = attempt.sent_at
+        upstream_result = attempt.task.result()
+        self._feedback.record_response(context, attempt.record, upstream_result)
         return upstream_result
 
-    def _start_attempt_timer(
-        self, context: RequestContext, now: float
-    ) -> asyncio.TimerHandle | None:
-        """Schedule the timeout of one attempt of an idempotent request."""
+    def _count_attempt(
+        self, context: RequestContext, hop_response: HopResponse
+    ) -> None:
+        """Count an attempt that may have reached, or run at, an upstream.
+
+        A rejected or misdirected request has reached it, but has not run.
+        """
+        if hop_response.arrived:
+            context.arrivals += 1
+            context.possible_runs += not hop_response.outcome.not_run
+
+    def _is_usable(
+        self, context: RequestContext, upstream_result: UpstreamResult
+    ) -> bool:
+        response = upstream_result.response
+        return response is not None and not self._is_retriable_error(
+            context, response, upstream_result
+        )
+
+    def _attempt_timeout_s(self, context: RequestContext, now: float) -> float | None:
+        """Return the timeout of an attempt; None if the request must not run twice."""
         if not context.route.idempotent:
             return None
         attempt_timeout = self._feedback.timeout_of(context.route.id, context.service)
-        wait_s = attempt_timeout.timeout_s(context.deadline - now)
-        if wait_s is None:
-            return None
-        task = asyncio.current_task(self._loop)
-        assert task is not None
-        return self._loop.call_later(wait_s, self._time_out_attempt, context, task)
+        return attempt_timeout.timeout_s(context.deadline - now)
 
-    def _time_out_attempt(
-        self, context: RequestContext, task: asyncio.Task[Any]
-    ) -> None:
-        """Time out an attempt if a retry is allowed and another host has room.
+    def _may_time_out(self, context: RequestContext) -> bool:
+        """Return whether an overdue attempt may be retried at another host.
 
         Charges the retry to the retry budget. A node that is stopping lets the attempts
         in progress finish.
         """
         state = self._state
         candidates = state.host_registry.hosts_of(context.service)
-        excluded = [*context.tried, context.sent_to]
+        excluded = [
+            *context.tried,
+            *(attempt.record.host for attempt in context.attempts),
+        ]
         now = self._loop.time()
         other_has_room = state.load_balancer.has_room(
             candidates, now, excluded=excluded
         )
         if not state.serving or not other_has_room:
-            return
+            return False
         # For this check, count the attempt as one that reached an upstream and may have
         # run.
         context.arrivals += 1
@@ -464,24 +530,7 @@
         context.attempt_timed_out = self._try_charge_retry(context)
         context.arrivals -= 1
         context.possible_runs -= 1
-        if context.attempt_timed_out:
-            task.cancel()
-
-    def _clear_attempt_timeout(self, context: RequestContext) -> bool:
-        """Undo a cancellation by an attempt timeout.
-
-        Does nothing once the deadline has passed; `_serve` then undoes all expected
-        cancellations.
-
-        Returns:
-            Whether the attempt timeout was the only cause of the cancellation.
-
-        """
-        if not context.attempt_timed_out or context.expired:
-            return False
-        task = asyncio.current_task(self._loop)
-        assert task is not None
-        return task.uncancel() == 0
+        return context.attempt_timed_out
 
     def _log_retry(self, context: RequestContext, record: HostRecord) -> None:
         # Metrics and logs name retries "repeats" and "repeated".
--- a/packages/lavenderway-relay/lavenderway_relay/request_context.py
+++ b/packages/lavenderway-relay/lavenderway_relay/request_context.py
@@ -6,12 +6,31 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    import asyncio
+
     from lavenderway_core.ids import HostId, ServiceId, WorkspaceId
 
     from lavenderway_relay.hops import Outcome
     from lavenderway_relay.messages import Request, Response
-    from lavenderway_relay.model import Route
+    from lavenderway_relay.model import HostRecord, Route
     from lavenderway_relay.running_requests import RunningRequest
+    from lavenderway_relay.upstream_runner import UpstreamResult
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class Attempt:
+    """An attempt to run a request at the upstream of a host.
+
+    Attributes:
+        record: Record of the host.
+        sent_at: Time at which the attempt started, in seconds.
+        task: Sends the request and returns its result.
+
+    """
+
+    record: HostRecord
+    sent_at: float
+    task: asyncio.Task[UpstreamResult]
 
 
 @dataclass(kw_only=True, slots=True, eq=False)
@@ -36,13 +55,14 @@
             there is no other.
         arrivals: Attempts that reached an upstream.
         possible_runs: Attempts in which an upstream may have run the request.
-        sent_to: Host of the last attempt.
-        sent_at: Time at which the last attempt started, in seconds.
-        in_flight: Whether an attempt is in progress.
+        sent_at: Time at which the attempt whose result was taken last started, in
+            seconds.
+        attempts: Attempts whose results have not been taken; all but the last one are
+            overdue.
         expired: Whether the deadline has passed, or the node exits.
         interrupted: Whether the exit of the node, not the deadline, ends the request.
-        attempt_timed_out: Whether the current attempt has timed out and its retry has
-            been charged to the retry budget.
+        attempt_timed_out: Whether the last attempt has timed out and its retry has been
+            charged to the retry budget.
         last_outcome: Outcome of the last attempt.
         server_error: Server error returned by an upstream; delivered if no other
             attempt succeeds.
@@ -64,9 +84,8 @@
     avoided: HostId | None = None
     arrivals: int = 0
     possible_runs: int = 0
-    sent_to: HostId | None = None
     sent_at: float = 0.0
-    in_flight: bool = False
+    attempts: list[Attempt] = field(default_factory=list)
     expired: bool = False
     interrupted: bool = False
     attempt_timed_out: bool = False
--- a/tests/relay/test_caller_handler.py
+++ b/tests/relay/test_caller_handler.py
@@ -67,7 +67,6 @@
         self.unanswered: set[str] = set()
         self.unanswered_once: set[str] = set()
         self.delay_s = 0.0
-        self.response_delays_s: dict[str, float] = {}
         self.hangs = False
         self.borrower: WorkspaceTokens | None = None
         self._loan_task: asyncio.Task[None] | None = None
@@ -77,14 +76,14 @@
     ) -> UpstreamResult:
         self.sent.append(record.host)
         self.hop_requests.append(hop_request)
+        hop_response = self.hop_responses.get(record.host, make_hop_response())
         if self.hangs or record.host in self.unanswered:
             await asyncio.sleep(60)
         if record.host in self.unanswered_once:
             self.unanswered_once.remove(record.host)
             await asyncio.sleep(60)
-        if delay_s := self.response_delays_s.get(record.host, self.delay_s):
-            await asyncio.sleep(delay_s)
-        hop_response = self.hop_responses.get(record.host, make_hop_response())
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
         answered = hop_response.outcome is Outcome.ANSWERED
         return UpstreamResult(
             hop_response,
@@ -316,11 +315,13 @@
     async def test_timed_out_attempt_is_kept_until_another_host_takes_the_request(
         self,
     ) -> None:
-        self.allow_retries()
-        self.peer_client.response_delays_s = {"a": 0.2}
-        self.peer_client.hop_responses = {"b": make_hop_response(Outcome.STOPPING)}
-        for _ in range(4):
-            self.assertEqual(200, (await self.send()).status)
+        self.peer_client.unanswered = set()
+        self.peer_client.delay_s = 0.2
+        sending = asyncio.create_task(self.send())
+        await asyncio.sleep(0.02)
+        self.script_outcome(Outcome.STOPPING)
+        self.assertEqual(200, (await sending).status)
+        self.assertGreater(len(self.peer_client.sent), 20 + 1)
 
     async def test_without_budget_the_attempt_continues(self) -> None:
         settings = replace(
