--- a/packages/lavenderway-dev/lavenderway_dev/relay_fleet.py
+++ b/packages/lavenderway-dev/lavenderway_dev/relay_fleet.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import os
+import signal
 import sys
 import tempfile
 from dataclasses import dataclass
@@ -20,7 +21,6 @@
 from lavenderway_dev.store_standin import MetadataStore, StoreFaults, allocate_port
 
 if TYPE_CHECKING:
-    import signal
     from types import TracebackType
 
     from lavenderway_relay.server import HttpServer
@@ -29,6 +29,7 @@
 POLL_INTERVAL_S = 0.05
 LOOPBACK = "127.0.0.1"
 STOP_GRACE_S = 6
+MEMORY_LIMIT_MB = 200
 
 
 @dataclass(kw_only=True)
@@ -76,6 +77,7 @@
             self.app,
         )
         self.process: asyncio.subprocess.Process | None = None
+        self._process_descriptor: int | None = None
         self.server = self.create_server(f"i-{plan.name}")
 
     def create_server(self, name: str) -> Server:
@@ -108,6 +110,21 @@
                 stdout=log,
                 stderr=log,
             )
+        self.close_process_descriptor()
+        self._process_descriptor = os.pidfd_open(self.process.pid)
+
+    def close_process_descriptor(self) -> None:
+        """Close the descriptor used to signal the process."""
+        if self._process_descriptor is not None:
+            os.close(self._process_descriptor)
+            self._process_descriptor = None
+
+    def read_peak_memory_mb(self) -> float:
+        """Return the peak resident memory of the node process, in megabytes."""
+        assert self.process is not None
+        status = Path(f"/proc/{self.process.pid}/status").read_text(encoding="ascii")
+        (line,) = [each for each in status.splitlines() if each.startswith("VmHWM:")]
+        return int(line.split()[1]) * 1024 / 1e6
 
     def rewrite_settings(self, old: str, new: str) -> None:
         """Replace a text in the settings file while the node is running."""
@@ -115,9 +132,15 @@
         self._settings_path.write_text(text.replace(old, new), encoding="utf-8")
 
     def signal(self, number: signal.Signals) -> None:
-        """Send a signal to the node process."""
-        assert self.process is not None
-        self.process.send_signal(number)
+        """Send a signal to the node process.
+
+        Raises:
+            ProcessLookupError: The process has ended.
+
+        """
+        # Process.send_signal() may take the exit code that wait() waits for.
+        assert self._process_descriptor is not None
+        signal.pidfd_send_signal(self._process_descriptor, number)
 
     async def wait(self) -> int:
         """Wait until the node process ends; return its exit code."""
@@ -142,6 +165,8 @@
 advertised = "{self.advertised_peers}"
 readiness = "{self.readiness}"
 control-plane = "{self.control}"
+[limits]
+memory-mb = {MEMORY_LIMIT_MB}
 [bounds]
 grace = "{STOP_GRACE_S}s"
 retry-budget-ratio = 0.2
@@ -218,6 +243,7 @@
                 with contextlib.suppress(ProcessLookupError):
                     process.kill()
                 await process.wait()
+            host.close_process_descriptor()
         for listener in self._store_listeners:
             listener.close()
             for connection in tuple(listener.connections):
--- a/packages/lavenderway-relay/lavenderway_relay/_sockets.py
+++ b/packages/lavenderway-relay/lavenderway_relay/_sockets.py
@@ -1,9 +1,11 @@
-"""Socket helpers for listening, dead peer detection and connection resets."""
+"""Socket helpers for listening, dead peer detection and the end of connections."""
 
 from __future__ import annotations
 
+import fcntl
 import socket
 import struct
+import termios
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -39,13 +41,14 @@
 
 def set_unacknowledged_timeout(
     transport: asyncio.BaseTransport,
-    timeout_ms: int = UNACKNOWLEDGED_TIMEOUT_MS,
+    timeout_ms: int,
 ) -> None:
-    """Make the kernel close a connection whose peer acknowledges no sent data.
+    """Make the kernel close a connection whose peer takes no sent data.
 
     Args:
         transport: Transport of the connection.
-        timeout_ms: Time without an acknowledgement, in milliseconds.
+        timeout_ms: Time without an acknowledgement, or with a receive window that
+            stays closed, in milliseconds.
 
     """
     sock = transport.get_extra_info("socket")
@@ -88,6 +91,18 @@
     transport.abort()
 
 
+def count_unacknowledged_bytes(transport: asyncio.Transport) -> int:
+    """Return the number of written bytes that the peer has not acknowledged yet."""
+    unsent = transport.get_write_buffer_size()
+    sock = transport.get_extra_info("socket")
+    if sock is None or transport.is_closing():
+        return unsent
+    (unacknowledged,) = struct.unpack(
+        "i", fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    )
+    return unsent + int(unacknowledged)
+
+
 def has_pending_error(transport: asyncio.Transport) -> bool:
     """Return whether an apparent end of stream is in fact a reset.
 
--- a/packages/lavenderway-relay/lavenderway_relay/model.py
+++ b/packages/lavenderway-relay/lavenderway_relay/model.py
@@ -10,6 +10,8 @@
     ServiceId,
 )
 
+from lavenderway_relay.revision import NO_REVISION, Revision
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -174,7 +176,9 @@
         serving: False once the host's node has been told to stop.
         upstream: The upstream on the host; None if none has been announced.
         started_ms: Wall-clock start of the node process, in milliseconds.
-        revision: Revision of the stored row; 0 if the record is not stored yet.
+        revision: Version of the stored row, and the store's era when the record was
+            built. A row of an older copy thus has an older revision than the rows
+            that the store lost, which are still known to other nodes.
 
     """
 
@@ -184,7 +188,7 @@
     serving: bool
     upstream: Upstream | None
     started_ms: int = 0
-    revision: int = 0
+    revision: Revision = NO_REVISION
 
     @property
     def retired(self) -> bool:
@@ -236,6 +240,7 @@
         retry_budget_ratio: Retry budget of the fleet, as retries per request.
         retry_budget_slack: Retries that the fleet may send in excess of that ratio, in
             any period of time.
+        memory_bytes: Memory limit of the process, in bytes; None if it is not known.
 
     """
 
@@ -250,3 +255,4 @@
     extra_burst: float = 0.0
     retry_budget_ratio: float = 0.05
     retry_budget_slack: float = 0.0
+    memory_bytes: int | None = None
--- a/tests/end_to_end/test_relay_fleet.py
+++ b/tests/end_to_end/test_relay_fleet.py
@@ -9,6 +9,7 @@
 from collections import Counter, deque
 from typing import Any
 
+import orjson
 from lavenderway_dev.relay_fleet import (
     RelayFleet,
     RelayHostPlan,
@@ -140,6 +141,26 @@
     async def get(self, path: str, host: str = "front", **options: Any) -> Response:
         return await self.fleet.send(host, path, **options)
 
+    async def send_many(self, count: int, host: str = "front") -> list[int]:
+        responses = [self.get(f"/back/{number}", host) for number in range(count)]
+        return [response.status for response in await asyncio.gather(*responses)]
+
+    async def wait_for(self, path: str, status: int, host: str) -> float:
+        """Wait until a path returns a status; return the elapsed seconds."""
+        started = time.monotonic()
+        async with asyncio.timeout(8.0):
+            while (await self.get(path, host=host, key=KEY)).status != status:
+                await asyncio.sleep(0.02)
+        return time.monotonic() - started
+
+    async def restart_node(self, name: str) -> None:
+        """Kill the node of a host and start it again."""
+        host = self.fleet.hosts[name]
+        host.signal(signal.SIGKILL)
+        await host.wait()
+        await host.start_node()
+        await self.fleet.wait_until_ready(host)
+
     def count_runs(self, prefix: bytes) -> int:
         """Return the number of executions of requests with a path prefix."""
         return sum(
@@ -253,10 +274,6 @@
 class LeavingUpstreams(RelayFleetCase):
     """A draining upstream gets no new request after the acknowledgement."""
 
-    async def send_many(self, count: int) -> list[int]:
-        responses = [self.get(f"/back/{number}") for number in range(count)]
-        return [response.status for response in await asyncio.gather(*responses)]
-
     async def test_no_request_after_the_acknowledgement(self) -> None:
         await self.send_many(20)
         leaving = self.servers["back1"]
@@ -326,8 +343,8 @@
         self.assertEqual(0, await host.wait())
 
 
-class CallersThatStay(unittest.IsolatedAsyncioTestCase):
-    """Callers without another ready node go on sending to a node that is stopping."""
+class StoppingNodeCase(unittest.IsolatedAsyncioTestCase):
+    """Base class of tests that stop the entry node of a fleet of two hosts."""
 
     async def asyncSetUp(self) -> None:
         slow = ServerPlan(service="back", slots=200, service_time_s=0.4)
@@ -341,18 +358,27 @@
         self.fleet = RelayFleet(plans, config=make_config(1, routes))
         await self.enterAsyncContext(self.fleet)
         self.entry = self.fleet.hosts["entry"]
+        self.back = self.fleet.hosts["back"]
+
+
+class CallersThatStay(StoppingNodeCase):
+    """Callers without another ready node go on sending to a node that is stopping."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
         self.requests = StayingRequests(address=self.entry.callers)
 
     def check_answered(self) -> None:
-        """Check that each request that ran was answered, and no refused one ran."""
-        runs = self.fleet.hosts["back"].server.runs
+        """Check that each request that ran got its response, and no refused one ran."""
+        runs = self.back.server.runs
         ran = {(run.header(b"lavenderway-attempt-id") or b"").decode() for run in runs}
-        answered = {name for name, status in self.requests.statuses.items() if status}
-        refused = {
-            name for name, status in self.requests.statuses.items() if status == 503
-        }
+        statuses = self.requests.statuses.items()
+        answered = {name for name, status in statuses if status}
+        refused = {name for name, status in statuses if status == 503}
+        broken_off = {name for name, status in statuses if status in (502, 504)}
         self.assertEqual(set(), ran - answered)
         self.assertEqual(set(), ran & refused)
+        self.assertEqual(set(), ran & broken_off)
         self.assertGreater(len(ran), 50)
 
     async def send_until_exit(self) -> None:
@@ -385,17 +411,64 @@
         self.assertEqual([], self.requests.refused_without_delay)
 
 
+class UnfinishedAtExit(StoppingNodeCase):
+    """A node that could exit completes what it has begun to take or to write."""
+
+    HEAD = (
+        b"POST /back/x HTTP/1.1\r\nhost: app.example\r\n"
+        b"lavenderway-attempt-id: 00000000000000aa\r\nlavenderway-deadline-ms: 2000\r\n"
+        b"content-length: 4\r\n\r\n"
+    )
+    BEFORE_IDLE_EXIT_S = 2.2
+
+    async def test_request_whose_body_arrives_late_is_completed(self) -> None:
+        self.entry.signal(signal.SIGTERM)
+        await asyncio.sleep(self.BEFORE_IDLE_EXIT_S)
+        reader, writer = await asyncio.open_connection(*self.entry.callers)
+        self.addCleanup(writer.close)
+        writer.write(self.HEAD + b"ab")
+        await asyncio.sleep(0.5)
+        writer.write(b"cd")
+        self.assertIn(b" 200 ", await reader.readline())
+        self.assertEqual(0, await self.entry.wait())
+
+    async def test_response_to_slow_reader_is_completed(self) -> None:
+        size = 8_000_000
+        self.back.server.plan.padding_bytes["/back/x"] = size
+        self.entry.signal(signal.SIGTERM)
+        await asyncio.sleep(self.BEFORE_IDLE_EXIT_S)
+        reader, writer = await asyncio.open_connection(
+            *self.entry.callers, limit=65_536
+        )
+        self.addCleanup(writer.close)
+        writer.write(self.HEAD + b"abcd")
+        received = 0
+        while data := await reader.read(100_000):
+            received += len(data)
+            await asyncio.sleep(0.015)
+        self.assertGreater(received, size)
+
+    async def test_departure_is_stored_before_the_exit(self) -> None:
+        self.back.signal(signal.SIGTERM)
+        await asyncio.sleep(1.7)
+        self.back.faults.refuse_with = 503
+        leaving = self.back.server
+        leaving.stop_heartbeats()
+        self.assertEqual(503, await leaving.deregister())
+        await asyncio.sleep(0.8)
+        self.back.faults.refuse_with = 0
+        await self.back.wait()
+        await self.back.start_node()
+        await self.fleet.wait_until_ready(self.back)
+        for _ in range(10):
+            response = await self.fleet.send("back", "/back/x", method="POST")
+            self.assertEqual(503, response.status)
+        self.assertEqual([], leaving.runs)
+
+
 class Configurations(RelayFleetCase):
     """A configuration takes effect on all nodes within seconds and never reverts."""
 
-    async def wait_for(self, path: str, status: int, host: str) -> float:
-        """Wait until a path returns a status; return the elapsed seconds."""
-        started = time.monotonic()
-        async with asyncio.timeout(8.0):
-            while (await self.get(path, host=host, key=KEY)).status != status:
-                await asyncio.sleep(0.02)
-        return time.monotonic() - started
-
     async def test_added_route_and_removed_key(self) -> None:
         routes = {**ROUTES, "new": make_route("/new/", "back")}
         self.fleet.configure(make_config(2, routes, {"coulee": {"api-keys": []}}))
@@ -464,6 +537,18 @@
         events = [line["event"] for line in host.read_log()]
         self.assertIn("settings.unusable", events)
 
+    async def test_signal_during_start(self) -> None:
+        host = self.fleet.hosts["slow"]
+        host.signal(signal.SIGKILL)
+        await host.wait()
+        host.log_path.write_bytes(b"")
+        await host.start_node("-X", "importtime")  # logs each module that is loaded
+        async with asyncio.timeout(5.0):
+            while b" asyncio\n" not in host.log_path.read_bytes():
+                await asyncio.sleep(0.002)
+        host.signal(signal.SIGHUP)
+        await self.fleet.wait_until_ready(host)
+
 
 class Recovery(RelayFleetCase):
     """The fleet recovers without an operator after all nodes are killed."""
@@ -503,6 +588,179 @@
                 await asyncio.sleep(0.05)
 
 
+class SuspendedNode(RelayFleetCase):
+    """A request that arrives while the process is suspended is answered."""
+
+    head = b"GET /back/x HTTP/1.1\r\nhost: app.example\r\nlavenderway-attempt-id: 1\r\n"
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        callers = self.fleet.hosts["slow"].callers
+        reader, writer = await asyncio.open_connection(*callers)
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def read_response(self, reader: asyncio.StreamReader) -> None:
+        async with asyncio.timeout(3.0):
+            self.assertIn(b" 200 ", await reader.readuntil(b"\r\n\r\n"))
+            await reader.readexactly(len(b"served /back/x"))
+
+    async def test_repeated_suspensions(self) -> None:
+        config = make_config(2, ROUTES, TENANTS)
+        limits = {"header-timeout": "500ms", "idle-timeout": "500ms"}
+        self.fleet.configure({**config, "limits": {**config["limits"], **limits}})
+        await asyncio.sleep(0.5)  # the nodes read the configuration
+        host = self.fleet.hosts["slow"]
+        for _ in range(3):  # whether timers or sockets come first varies
+            idle_reader, idle_writer = await self.connect()
+            idle_writer.write(self.head + b"\r\n")
+            await self.read_response(idle_reader)
+            head_reader, head_writer = await self.connect()
+            head_writer.write(self.head)
+            await asyncio.sleep(0.1)
+            host.signal(signal.SIGSTOP)
+            await asyncio.sleep(0.1)
+            idle_writer.write(self.head + b"\r\n")
+            head_writer.write(b"\r\n")
+            await asyncio.sleep(0.7)
+            host.signal(signal.SIGCONT)
+            await self.read_response(idle_reader)
+            await self.read_response(head_reader)
+
+
+class RestoredStore(RelayFleetCase):
+    """The store returns from an older copy, and its versions are given out again."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.copy = self.fleet.store.save_copy()
+
+    def refuse_store_calls(self, status: int) -> None:
+        for host in self.fleet.hosts.values():
+            host.faults.refuse_with = status
+
+    async def wait_until_learned(self, upstream: str, status: str) -> None:
+        """Wait until every node has learned a status of an upstream."""
+        expected = ("host.learned", upstream, status)
+        async with asyncio.timeout(8.0):
+            for host in self.fleet.hosts.values():
+                while not any(
+                    (line["event"], line.get("upstream"), line.get("status"))
+                    == expected
+                    for line in host.read_log()
+                ):
+                    await asyncio.sleep(0.05)
+
+    async def drain_back1(self) -> None:
+        """Have an upstream's draining acknowledged and learned by every node."""
+        leaving = self.servers["back1"]
+        self.assertEqual(200, await leaving.leave())
+        leaving.stop_heartbeats()
+        await self.wait_until_learned(leaving.name, "leaving")
+
+    async def assert_back1_stays_unused(self) -> None:
+        """Send requests after a delayed announcement that the upstream is ready."""
+        leaving = self.servers["back1"]
+        leaving.state = "ready"
+        await leaving.send_heartbeat(sequence=2)
+        before = len(leaving.runs)
+        for host in ("front", "back1") * 5:
+            self.assertEqual({200}, set(await self.send_many(8, host)))
+        self.assertEqual(before, len(leaving.runs))
+
+    async def test_draining_survives_with_the_peers(self) -> None:
+        """The node is down while the store loses its record."""
+        await self.drain_back1()
+        host = self.fleet.hosts["back1"]
+        host.signal(signal.SIGKILL)
+        await host.wait()
+        self.fleet.store.restore(self.copy)
+        await host.start_node()
+        await self.fleet.wait_until_ready(host)
+        await self.assert_back1_stays_unused()
+
+    async def test_draining_is_stored_again(self) -> None:
+        await self.drain_back1()
+        self.fleet.store.restore(self.copy)
+        async with asyncio.timeout(8.0):
+            while True:
+                value = self.fleet.store.get("lavenderway-hosts", "back1")
+                if orjson.loads(value or b"")["upstream"]["status"] == "leaving":
+                    break
+                await asyncio.sleep(0.05)
+        await self.restart_node("back1")
+        await self.assert_back1_stays_unused()
+
+    async def test_killed_upstream_is_not_used_until_it_announces_itself(self) -> None:
+        """Nothing tells a fleet that was killed with its store what it has lost."""
+        leaving = self.servers["back1"]
+        self.assertEqual(200, await leaving.leave())
+        leaving.stop_heartbeats()
+        for host in self.fleet.hosts.values():
+            host.signal(signal.SIGKILL)
+            await host.wait()
+        self.fleet.store.restore(self.copy)
+        for host in self.fleet.hosts.values():
+            await host.start_node()
+        for host in self.fleet.hosts.values():
+            await self.fleet.wait_until_ready(host)
+        before = len(leaving.runs)
+        await self.wait_for("/front/x", 200, "front")
+        for _ in range(5):
+            self.assertEqual({200}, set(await self.send_many(8)))
+        self.assertEqual(before, len(leaving.runs))
+
+    async def test_configuration_written_at_a_reused_version(self) -> None:
+        routes = {**ROUTES, "lost": make_route("/lost/", "back")}
+        self.fleet.configure(make_config(2, routes, TENANTS))
+        for host in self.fleet.hosts:
+            await self.wait_for("/lost/x", 200, host)
+        self.refuse_store_calls(503)
+        await asyncio.sleep(0.2)
+        self.fleet.store.restore(self.copy)
+        routes = {**ROUTES, "new": make_route("/new/", "back")}
+        self.fleet.configure(make_config(3, routes, TENANTS))
+        self.refuse_store_calls(0)
+        for host in self.fleet.hosts:
+            self.assertLess(await self.wait_for("/new/x", 200, host), 3.0)
+
+    async def replace_back2(self) -> None:
+        """Replace an upstream; the store loses the departure of the former one."""
+        host = self.fleet.hosts["back2"]
+        await host.server.deregister()
+        await self.wait_until_learned("i-back2", "gone")
+        self.refuse_store_calls(503)
+        await asyncio.sleep(0.2)
+        self.fleet.store.restore(self.copy)
+        host.server.stop()
+        host.server = host.create_server("i-back2-new")
+        host.faults.refuse_with = 0
+        await host.server.start()
+
+    async def test_host_record_written_at_a_reused_version(self) -> None:
+        await self.replace_back2()
+        self.refuse_store_calls(0)
+        await self.wait_until_learned("i-back2-new", "ready")
+
+    async def test_nodes_without_store_learn_the_new_era_from_peers(self) -> None:
+        await self.replace_back2()
+        await self.wait_until_learned("i-back2-new", "ready")
+
+    async def test_node_keeps_its_newer_configuration(self) -> None:
+        routes = {**ROUTES, "new": make_route("/new/", "back")}
+        self.fleet.configure(make_config(2, routes, TENANTS))
+        await self.wait_for("/new/x", 200, "front")
+        self.fleet.store.restore(self.copy)
+        await asyncio.sleep(1.0)
+        self.assertEqual(200, (await self.get("/new/x")).status)
+
+    async def test_new_era_is_logged_once(self) -> None:
+        self.fleet.store.restore(self.copy)
+        await asyncio.sleep(1.5)
+        for host in self.fleet.hosts.values():
+            lines = [x for x in host.read_log() if x["event"] == "store.restored"]
+            self.assertEqual([(0, 1)], [(x["before"], x["era"]) for x in lines])
+
+
 class Rates(RelayFleetCase):
     """The rate and burst of a workspace hold over the whole fleet."""
 
