--- a/packages/lavenderway-dev/lavenderway_dev/soak_clients.py
+++ b/packages/lavenderway-dev/lavenderway_dev/soak_clients.py
@@ -100,6 +100,7 @@
 
     Attributes:
         closed: Whether the connection accepts no further request.
+        unanswered: Requests that had no response when the connection closed.
 
     """
 
@@ -110,6 +111,7 @@
         self._transport: asyncio.Transport
         self._body: list[bytes] = []
         self.closed = False
+        self.unanswered: list[ClientRequest] = []
 
     @property
     def depth(self) -> int:
@@ -199,6 +201,7 @@
         self.closed = True
         while self._pending:
             request, done = self._pending.popleft()
+            self.unanswered.append(request)
             request.connection_broken = True
             request.connection_reset = reset
             request.ended_at = self._loop.time()
@@ -378,11 +381,16 @@
 @_register_client
 @_register_client
 async def _pipeline(clients: Clients, host: str) -> None:
-    """Keep several requests unanswered; repeat those that the node has not read."""
+    """Keep several requests unanswered; send those again that got no response."""
+    workloads = {workload.path: workload for workload in PIPELINED_WORKLOADS}
+    unanswered: list[ClientRequest] = []
     while not clients.is_ending:
         connection = await clients.connect(host)
         while connection is not None and not connection.closed:
-            workload = clients.rng.choice(PIPELINED_WORKLOADS)
+            if unanswered:
+                workload = workloads[unanswered.pop(0).path]
+            else:
+                workload = clients.rng.choice(PIPELINED_WORKLOADS)
             connection.send(*clients.create_request(host, workload))
             if connection.depth >= clients.rng.randint(2, MAX_PIPELINE_DEPTH):
                 if not await _wait_for_first(connection):
@@ -393,6 +401,8 @@
                 while connection.depth and await _wait_for_first(connection):
                     continue
                 connection.abort()
+        if connection is not None:
+            unanswered = connection.unanswered
 
 
 @_register_client
