Set no kernel limit on the closed receive window of callers

What callers saw: a caller that reads slowly, but takes each response within 0.6 s, had its connection reset after 15 s.

Cause: TCP_USER_TIMEOUT also counts while the receive window is closed, and the kernel counts from the first time that it closes, not from the last progress.

Change: the listeners for callers set no limit; the kernel still gives up on callers that acknowledge nothing.

--- a/packages/lavenderway-relay/lavenderway_relay/server.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server.py
@@ -31,7 +31,6 @@
 
 MAX_PIPELINED_REQUESTS = 64  # per connection; reading pauses at this number
 READ_DELAY_S = 0.001  # any positive delay lets the loop read the socket
-UNACKNOWLEDGED_TIMEOUT_MS = 15_000  # longer than callers wait for a response
 LINGER_TIMEOUT_S = 1.0  # for the client to close after its last response
 HEADER_OVERHEAD_BYTES = 4  # colon, space, CR and LF
 FIRST_REQUEST_DELAY_S = 0.2  # a new connection's first request arrives within this time
@@ -138,7 +137,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the server."""
         self._transport = cast("asyncio.Transport", transport)
-        set_unacknowledged_timeout(transport, self._server.unacknowledged_timeout_ms)
+        timeout_ms = self._server.unacknowledged_timeout_ms
+        if timeout_ms is not None:
+            set_unacknowledged_timeout(transport, timeout_ms)
         self._server.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -416,7 +417,9 @@
             given the status code to use.
         limits: Returns the present size limits and timeouts.
         unacknowledged_timeout_ms: Time after which a client that takes no more of its
-            responses is treated as lost, in milliseconds.
+            responses is treated as lost, in milliseconds. The kernel also ends the
+            connection of a client that reads slowly, as it counts the time from the
+            first moment at which the receive window closes. None for no limit.
 
     Attributes:
         connections: The open connections.
@@ -436,7 +439,7 @@
         serve: Callable[[Request], Coroutine[Any, Any, Response]],
         refuse: Callable[[int], Response],
         limits: Callable[[], Limits] = Limits,
-        unacknowledged_timeout_ms: int = UNACKNOWLEDGED_TIMEOUT_MS,
+        unacknowledged_timeout_ms: int | None = None,
     ) -> None:
         self.loop = loop
         self.serve = serve
--- a/tests/relay/test_server.py
+++ b/tests/relay/test_server.py
@@ -252,6 +252,14 @@
         received = await self.read_to_end()
         self.assertEqual(BIG_BODY_BYTES, received.count(b"#"))
 
+    async def test_kernel_sets_no_limit_on_a_closed_receive_window(self) -> None:
+        await self.send(encode_get(b"/x"))
+        await self.read_until(b"/x")
+        (connection,) = self.server.connections
+        sock = connection._transport.get_extra_info("socket")
+        limit_ms = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        self.assertEqual(0, limit_ms)
+
 
 class IdleConnections(ServerCase):
     """A connection is idle only while the client has its whole response."""
