--- a/packages/lavenderway-dev/lavenderway_dev/soak_seeds.py
+++ b/packages/lavenderway-dev/lavenderway_dev/soak_seeds.py
@@ -10,7 +10,7 @@
 
     TAKEN_PORT = "a concurrent run took the port of a node that was restarting"
     UNBOUNDED_INTAKE = "a stopping node took requests until it exited, and dropped them"
-    SLOW_READER = "a response was reset 1.5 s after its reader's window first closed"
+    SLOW_READER = "the timeout for unacknowledged data reset a slow reader's connection"
     CANCELLED_ATTEMPT = (
         "an overdue attempt was cancelled although no other host had room"
     )
@@ -29,7 +29,7 @@
         *(1, 5, 7, 9, 11, 13, 15, 17, 19, 21, 23, 25, 27, 29, 31, 33, 37),
         *(39, 41, 43, 47, 49, 51, 53, 55, 57, 59),
     ),
-    Cause.SLOW_READER: (3, 35, 45),  # and all odd seeds of the other causes
+    Cause.SLOW_READER: (5, 3, 35, 45),  # and all odd seeds of the other causes
     Cause.CANCELLED_ATTEMPT: (21, 5, 25),
     Cause.PIPELINED_REFUSAL: (13, 5, 11, 17, 29, 43, 59),
     Cause.RESTORED_STORE: (28, 50),
