Answer requests that have arrived, but are not read, at the idle exit

Cause: the idle exit judged by what the event loop had read. After a pause of the process, its timer ran before the sockets were read, as for the timeouts of connections.

Change: the node reads for some iterations before it judges whether it is idle, and once more after it has stopped accepting connections; what is read then is refused as not run.

--- a/packages/lavenderway-relay/lavenderway_relay/node.py
+++ b/packages/lavenderway-relay/lavenderway_relay/node.py
@@ -42,9 +42,10 @@
 DEPARTURE_WRITE_TIMEOUT_S = 0.6  # announcements must get a response within a second
 LEAVE_TIME_S = 2.4  # callers leave after two failed readiness checks of a second each
 MAX_LEAVE_SHARE = 0.5  # of the grace period; the rest is for completing what was taken
-EXIT_MARGIN_S = 0.6  # part of the grace period kept for writing the last responses
+EXIT_MARGIN_S = 0.8  # part of the grace period kept for writing the last responses
 WRITE_TIMEOUT_S = 0.3  # part of the margin in which callers take the last responses
 WRITE_POLL_INTERVAL_S = 0.005
+READ_TIME_S = 0.01  # several iterations of the event loop, which read what has arrived
 DRAIN_POLL_INTERVAL_S = 0.05
 SETTINGS_CHECK_TICKS = 10  # a change without SIGHUP is found within a second
 LAG_THRESHOLD_S = 0.03  # above it, callers have often left before their request is read
@@ -350,7 +351,10 @@
 
     async def _wait_until_idle(self, deadline: float) -> None:
         """Wait until nothing that the node took or acknowledged is unfinished."""
-        while (now := self._loop.time()) < deadline:
+        while self._loop.time() < deadline:
+            # The event loop may have been blocked. It reads what has arrived first.
+            await asyncio.sleep(READ_TIME_S)
+            now = self._loop.time()
             self._caller_server.close_when_idle(now)
             servers = (self._caller_server, self._peer_server)
             if not (
@@ -369,6 +373,8 @@
     async def _close_servers(self, stop_requested_at: float) -> int:
         """Take no more requests, and write the responses to those taken.
 
+        Requests that have arrived, but have not been read, are refused.
+
         Args:
             stop_requested_at: Time at which the node was told to stop, in seconds.
 
@@ -378,6 +384,9 @@
         """
         interrupted = 0
         deadline = self._loop.time() + WRITE_TIMEOUT_S
+        for server in self._servers:
+            server.stop_accepting()
+        await asyncio.sleep(READ_TIME_S)
         for server in self._servers:
             server.close()
         while (now := self._loop.time()) < deadline:
--- a/packages/lavenderway-relay/lavenderway_relay/server.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server.py
@@ -535,9 +535,13 @@
         """Number of response bytes that the clients have not taken yet."""
         return sum(connection.unwritten_bytes for connection in self.connections)
 
-    def close(self) -> None:
-        """Stop accepting connections and requests; pending ones get their responses."""
+    def stop_accepting(self) -> None:
+        """Stop accepting connections; open ones still serve requests."""
         if self._server is not None:
             self._server.close()
+
+    def close(self) -> None:
+        """Stop accepting connections and requests; pending ones get their responses."""
+        self.stop_accepting()
         for connection in tuple(self.connections):
             connection.take_no_more()
--- a/tests/end_to_end/test_relay_fleet.py
+++ b/tests/end_to_end/test_relay_fleet.py
@@ -432,6 +432,21 @@
         self.assertIn(b" 200 ", await reader.readline())
         self.assertEqual(0, await self.entry.wait())
 
+    async def test_request_that_arrived_while_suspended_is_answered(self) -> None:
+        self.entry.signal(signal.SIGTERM)
+        await asyncio.sleep(self.BEFORE_IDLE_EXIT_S)
+        streams = [
+            await asyncio.open_connection(*self.entry.callers) for _ in range(20)
+        ]
+        self.entry.signal(signal.SIGSTOP)
+        for _, writer in streams:
+            writer.write(self.HEAD + b"abcd")
+            self.addCleanup(writer.close)
+        await asyncio.sleep(0.5)
+        self.entry.signal(signal.SIGCONT)
+        lines = [await reader.readline() for reader, _ in streams]
+        self.assertEqual([], [line for line in lines if b"HTTP/1.1" not in line])
+
     async def test_response_to_slow_reader_is_completed(self) -> None:
         size = 8_000_000
         self.back.server.plan.padding_bytes["/back/x"] = size
