--- a/packages/lavenderway-dev/lavenderway_dev/soak_seeds.py
+++ b/packages/lavenderway-dev/lavenderway_dev/soak_seeds.py
@@ -18,6 +18,7 @@
         "a refusal that closed the connection cancelled requests in progress behind it"
     )
     RESTORED_STORE = "hosts lost their entries in a store with an older state"
+    UNREAD_REQUEST = "an idle exit closed connections whose request was not yet read"
     LATE_EXIT = "a node that lacked processor time exited after its grace period"
     STOPPING_HOST = "the soak took a node that was still stopping for a recovered one"
 
@@ -29,11 +30,21 @@
         *(1, 5, 7, 9, 11, 13, 15, 17, 19, 21, 23, 25, 27, 29, 31, 33, 37),
         *(39, 41, 43, 47, 49, 51, 53, 55, 57, 59),
     ),
-    Cause.SLOW_READER: (5, 3, 35, 45),  # and all odd seeds of the other causes
-    Cause.CANCELLED_ATTEMPT: (21, 5, 25),
+    Cause.SLOW_READER: (
+        5,
+        3,
+        19,
+        27,
+        33,
+        35,
+        39,
+        45,
+    ),  # and all odd seeds of the other causes
+    Cause.CANCELLED_ATTEMPT: (21, 5, 25, 37, 45),
     Cause.PIPELINED_REFUSAL: (13, 5, 11, 17, 29, 43, 59),
     Cause.RESTORED_STORE: (28, 50),
-    Cause.LATE_EXIT: (27, 29),
+    Cause.UNREAD_REQUEST: (1, 21),
+    Cause.LATE_EXIT: (27, 29, 13),
     Cause.STOPPING_HOST: (16, 15),
 }
 
