--- a/packages/lavenderway-relay/lavenderway_relay/node.py
+++ b/packages/lavenderway-relay/lavenderway_relay/node.py
@@ -331,7 +331,6 @@
         self._upstream_runner.stopping = True
         self._caller_server.stop()
         self._sync.publish()
-        interrupted = 0
         try:
             await asyncio.sleep(started + leave_s - self._loop.time())
             state.exit_at = started + grace_s
