--- a/tests/dev/test_soak.py
+++ b/tests/dev/test_soak.py
@@ -328,6 +328,9 @@
     async def test_port_of_restarting_node_is_taken(self) -> None:
         await self.check(Cause.TAKEN_PORT)
 
+    async def test_planned_operations_violate_nothing(self) -> None:
+        self.assertEqual([], await run_soak(seed=3))
+
     async def test_stopping_node_drops_requests_taken_too_late(self) -> None:
         await self.check(Cause.UNBOUNDED_INTAKE)
 
