Close the longest idle connections of callers before descriptors run out

Cause: callers that retry open a connection each time and leave the former one idle. Under the idle timeout alone they piled up on one node: 3,447 connections at 16.1 s, 4 of them busy, until accept and connect failed with 'Too many open files'.

Change: above 0.4 of the descriptors that the settings allow (limits.max-fds), the longest idle connections of callers close, one for each that is accepted. Busy connections and those with a response that is not received stay. A gauge counts the connections.

Measured: the end-to-end test, a node with 256 descriptors and 512 connections that each have had one response, failed before with an empty response line and passes now.

--- a/packages/lavenderway-relay/lavenderway_relay/model.py
+++ b/packages/lavenderway-relay/lavenderway_relay/model.py
@@ -241,6 +241,8 @@
         retry_budget_slack: Retries that the fleet may send in excess of that ratio, in
             any period of time.
         memory_bytes: Memory limit of the process, in bytes; None if it is not known.
+        max_descriptors: Limit on the open descriptors of the process; None if it is not
+            known.
 
     """
 
@@ -256,3 +258,4 @@
     retry_budget_ratio: float = 0.05
     retry_budget_slack: float = 0.0
     memory_bytes: int | None = None
+    max_descriptors: int | None = None
--- a/packages/lavenderway-relay/lavenderway_relay/node.py
+++ b/packages/lavenderway-relay/lavenderway_relay/node.py
@@ -39,6 +39,9 @@
     idle_timeout_s=60.0,  # longer than a peer's pool keeps an idle connection
 )
 PEER_UNACKNOWLEDGED_TIMEOUT_MS = 1_500  # peers read responses as they arrive
+# Part of the descriptors for connections of callers; the rest is for those of peers, to
+# the upstream and to other nodes.
+CALLER_DESCRIPTOR_SHARE = 0.4
 DEPARTURE_WRITE_TIMEOUT_S = 0.6  # announcements must get a response within a second
 LEAVE_TIME_S = 2.4  # callers leave after two failed readiness checks of a second each
 MAX_LEAVE_SHARE = 0.5  # of the grace period; the rest is for completing what was taken
@@ -157,6 +160,7 @@
             unacknowledged_timeout_ms=PEER_UNACKNOWLEDGED_TIMEOUT_MS,
         )
         self._servers = [self._caller_server, self._peer_server]
+        self._limit_connections()
         self._add_gauges()
 
     @property
@@ -415,12 +419,23 @@
             self.state.log.state("settings.need_restart", now)
             return
         self.state.settings = settings
+        self._limit_connections()
         self.state.quota.extra_burst = settings.extra_burst
         self.state.update_quota(now)
         self.state.log.state("node.reloaded", now, changed=settings != active_settings)
 
+    def _limit_connections(self) -> None:
+        max_descriptors = self.state.settings.max_descriptors
+        if max_descriptors is not None:
+            self._caller_server.max_connections = (
+                CALLER_DESCRIPTOR_SHARE * max_descriptors
+            )
+
     def _add_gauges(self) -> None:
         metrics = self.state.metrics
+        metrics.gauge(
+            "caller_connections", lambda: float(len(self._caller_server.connections))
+        )
         metrics.gauge("upstream_load", lambda: self._upstream_runner.load)
         metrics.gauge("admission_level", lambda: self._upstream_runner.level)
         metrics.gauge("config_version", lambda: float(self.state.config_version))
--- a/packages/lavenderway-relay/lavenderway_relay/server.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server.py
@@ -141,10 +141,13 @@
         if timeout_ms is not None:
             set_unacknowledged_timeout(transport, timeout_ms)
         self._server.connections.add(self)
+        self._server.idle[self] = None
+        self._server.close_surplus()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the connection's pending requests."""
         self._server.connections.discard(self)
+        self._server.idle.pop(self, None)
         if self._linger_timer is not None:
             self._linger_timer.cancel()
         self._cancel_pending()
@@ -217,6 +220,7 @@
         self._partial_head_bytes = 0
         self._expects_continue = False
         self._in_message = True
+        self._server.idle.pop(self, None)
         self.message_since = self._server.loop.time()
 
     def on_url(self, url: bytes) -> None:
@@ -348,6 +352,8 @@
                 return
         if pieces and not self.closing:
             self.idle_since = self._server.loop.time()
+            if not self.busy:
+                self._server.idle[self] = None
             self._transport.write(b"".join(pieces))
             self._update_reading()
 
@@ -423,6 +429,9 @@
 
     Attributes:
         connections: The open connections.
+        idle: The idle connections, as keys, in the order in which they became idle.
+        max_connections: Number of connections above which idle ones are closed, the
+            longest idle first.
         stopping: Whether each connection closes after the response to its last
             pending request.
         lagging: Whether the event loop reads requests long after they arrived.
@@ -447,6 +456,8 @@
         self.limits = limits
         self.unacknowledged_timeout_ms = unacknowledged_timeout_ms
         self.connections: set[ServerConnection] = set()
+        self.idle: dict[ServerConnection, None] = {}
+        self.max_connections = math.inf
         self.stopping = False
         self.lagging = False
         self.next_tick_deadline = math.inf
@@ -462,6 +473,19 @@
             backlog=2048,
         )
 
+    def close_surplus(self) -> None:
+        """Close the longest idle connections if there are too many connections.
+
+        Callers that open a connection for each retry, and keep the former ones, would
+        otherwise use up the descriptors of the process.
+        """
+        while len(self.connections) > self.max_connections and self.idle:
+            connection = next(iter(self.idle))
+            del self.idle[connection]
+            if not connection.busy and not connection.has_unread_response:
+                connection.close_when_idle()
+                self.connections.discard(connection)
+
     def close_idle(self, now: float) -> None:
         """Close connections that are idle or whose request head takes too long.
 
--- a/tests/end_to_end/test_relay_fleet.py
+++ b/tests/end_to_end/test_relay_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import re
+import resource
 import signal
 import time
 import unittest
@@ -481,6 +482,39 @@
         self.assertEqual([], leaving.runs)
 
 
+class DescriptorLimit(StoppingNodeCase):
+    """Idle connections of callers do not use up the descriptors of a node."""
+
+    MAX_DESCRIPTORS = 256
+    HEAD = (
+        b"POST /back/x HTTP/1.1\r\nhost: app.example\r\n"
+        b"lavenderway-attempt-id: %016x\r\nlavenderway-deadline-ms: 2000\r\n"
+        b"content-length: 0\r\n\r\n"
+    )
+
+    async def test_callers_that_keep_every_connection_are_served(self) -> None:
+        limit = (self.MAX_DESCRIPTORS, self.MAX_DESCRIPTORS)
+        assert self.entry.process is not None
+        resource.prlimit(self.entry.process.pid, resource.RLIMIT_NOFILE, limit)
+        self.entry.rewrite_settings(
+            "[limits]", f"[limits]\nmax-fds = {self.MAX_DESCRIPTORS}"
+        )
+        await asyncio.sleep(1.2)  # the node reads the changed settings meanwhile
+        for number in range(2 * self.MAX_DESCRIPTORS):
+            reader, writer = await asyncio.open_connection(*self.entry.callers)
+            self.addCleanup(writer.close)
+            writer.write(b"GET /none HTTP/1.1\r\nhost: app.example\r\n\r\n")
+            async with asyncio.timeout(2.0):
+                self.assertIn(b" 404 ", await reader.readline())
+            if number % 10 == 0:
+                await asyncio.sleep(0.02)
+        reader, writer = await asyncio.open_connection(*self.entry.callers)
+        self.addCleanup(writer.close)
+        writer.write(self.HEAD % 1)
+        async with asyncio.timeout(2.0):
+            self.assertIn(b" 200 ", await reader.readline())
+
+
 class Configurations(RelayFleetCase):
     """A configuration takes effect on all nodes within seconds and never reverts."""
 
--- a/tests/platform_adapter/test_decoding.py
+++ b/tests/platform_adapter/test_decoding.py
@@ -121,7 +121,7 @@
 
     def test_error_lists_every_invalid_value(self) -> None:
         text = 'zone = 3\n[listen]\ninbound = "nowhere"\n[bounds]\ngrace = "soon"\n'
-        text += '[limits]\nmemory-mb = "much"\n'
+        text += '[limits]\nmemory-mb = "much"\nmax-fds = "few"\n'
         self.path.write_text(text, encoding="utf-8")
         with self.assertRaises(SettingsError) as caught:
             self.file.read()
@@ -133,6 +133,7 @@
             "listen.readiness",
             "bounds.grace",
             "limits.memory-mb",
+            "limits.max-fds",
             "platform",
         ):
             self.assertIn(f"{self.path}: {key_path}", message)
--- a/tests/relay/test_server.py
+++ b/tests/relay/test_server.py
@@ -291,3 +291,38 @@
         self.assertTrue(received.endswith(b"#"))
         await self.send(encode_get(b"/second"))
         self.assertIn(b"/second", await self.read_until(b"/second"))
+
+
+class SurplusConnections(ServerCase):
+    """Above the limit, the connections that have been idle for longest are closed."""
+
+    async def open_connections(self, count: int) -> list[asyncio.StreamReader]:
+        readers = []
+        for _ in range(count):
+            reader, writer = await asyncio.open_connection(*self.address)
+            self.addCleanup(writer.close)
+            readers.append(reader)
+        await asyncio.sleep(0.05)
+        return readers
+
+    async def test_longest_idle_connection_closes(self) -> None:
+        self.server.max_connections = 3
+        readers = await self.open_connections(4)
+        closed = [reader.at_eof() for reader in readers]
+        self.assertEqual([True, False, False, False], closed)
+        self.assertEqual(b"", await self.read_to_end())
+
+    async def test_busy_connection_stays_open(self) -> None:
+        self.server.max_connections = 1
+        await self.send(encode_get(b"/slow"))
+        await asyncio.sleep(0.05)
+        await self.open_connections(3)
+        self.assertIn(b"/slow", await self.read_until(b"/slow"))
+
+    async def test_unread_response_stays_complete(self) -> None:
+        self.server.max_connections = 1
+        await self.send(encode_get(b"/big"))
+        await asyncio.sleep(0.1)
+        await self.open_connections(3)
+        received = await self.read_until(b"#" * BIG_BODY_BYTES, timeout_s=5.0)
+        self.assertTrue(received.endswith(b"#"))
