Answer requests in progress also if the last steps of the exit run late

If the event loop was blocked for 0.3 s or longer between the last read and the interruption, the requests in progress were dropped without a response, and the log said that none was.

Cause: the time for writing the last responses began before the pause for reading, and the interruption happened only while some of it was left.

Change: the time begins afterwards, and the interruption always happens. The steps after the signal are all covered by the final ones. A request that waited for a token is checked again for the time left.

--- a/packages/lavenderway-relay/lavenderway_relay/caller_handler.py
+++ b/packages/lavenderway-relay/lavenderway_relay/caller_handler.py
@@ -145,6 +145,8 @@
                 token_owners=token_owners,
             )
         refusal = self._check_admission(context)
+        if refusal is None and self._is_too_late(context):  # the token took time
+            refusal = self._refuse_as_stopping(context)
         if refusal is not None:
             self._refund_token(context)
             return refusal
--- a/packages/lavenderway-relay/lavenderway_relay/node.py
+++ b/packages/lavenderway-relay/lavenderway_relay/node.py
@@ -331,11 +331,11 @@
         grace_s = max(0.0, state.settings.shutdown_grace_s - EXIT_MARGIN_S)
         leave_s = min(LEAVE_TIME_S, MAX_LEAVE_SHARE * grace_s)
         state.serving = False
-        state.log.state("node.stopping", started)
-        self._upstream_runner.stopping = True
-        self._caller_server.stop()
-        self._sync.publish()
         try:
+            state.log.state("node.stopping", started)
+            self._upstream_runner.stopping = True
+            self._caller_server.stop()
+            self._sync.publish()
             await asyncio.sleep(started + leave_s - self._loop.time())
             state.exit_at = started + grace_s
             self._peer_server.stop()
@@ -385,18 +385,19 @@
             The number of requests that were still in progress.
 
         """
-        interrupted = 0
-        deadline = self._loop.time() + WRITE_TIMEOUT_S
+        interrupt = self._caller_handler.interrupt
         for server in self._servers:
             server.stop_accepting()
         await asyncio.sleep(READ_TIME_S)
         for server in self._servers:
             server.close()
-        while (now := self._loop.time()) < deadline:
-            interrupted += self._caller_handler.interrupt(now, stop_requested_at)
-            if not any(server.connections for server in self._servers):
-                break
+        now = self._loop.time()
+        deadline = now + WRITE_TIMEOUT_S
+        interrupted = interrupt(now, stop_requested_at)
+        while now < deadline and any(server.connections for server in self._servers):
             await asyncio.sleep(WRITE_POLL_INTERVAL_S)
+            now = self._loop.time()
+            interrupted += interrupt(now, stop_requested_at)
         return interrupted
 
     def _reload(self) -> None:
