Take each result of overdue attempts, and share the state of repeated runs

Cause: results that were not usable were dropped with their feedback; an exception of an attempt reached the request; running requests were kept by id, one for each.

Change: every result is taken once, and a server error is kept for the case that nothing better comes. A fault in an attempt leaves its outcome unknown. Runs of one request at the same upstream share their state until the last has ended. Hosts with an overdue attempt are chosen after all others.

--- a/packages/lavenderway-relay/lavenderway_relay/caller_handler.py
+++ b/packages/lavenderway-relay/lavenderway_relay/caller_handler.py
@@ -58,10 +58,11 @@
 # of the time that most callers wait for a response.
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 2.0
-# Recorded for an attempt that timed out: it may have run. The fields after the first
-# two are placeholders; the last, `reported`, is False so that they are ignored.
-TIMED_OUT_HOP_RESPONSE = HopResponse(
-    Outcome.UNKNOWN, True, 0.0, 0.0, False, {}, {}, 0, NO_REVISION, False
+# Result of an attempt that timed out or failed: it may have run. The fields after the
+# first two are placeholders; the last, `reported`, is False so that they are ignored.
+UNKNOWN_RESULT = UpstreamResult(
+    HopResponse(Outcome.UNKNOWN, True, 0.0, 0.0, False, {}, {}, 0, NO_REVISION, False),
+    None,
 )
 _REMOVED_RESPONSE_HEADERS = NOT_FORWARDED_HEADERS | {HOP_HEADER}
 
@@ -343,7 +344,6 @@
                 assert response is not None
                 if not self._is_retriable_error(context, response, upstream_result):
                     return self._deliver(context, response)
-                context.server_error = response
             # The retry after an attempt timeout is already charged to the budget.
             retry_charged = context.attempt_timed_out
             context.attempt_timed_out = False
@@ -363,15 +363,17 @@
     def _choose_host(self, context: RequestContext) -> HostRecord | None:
         """Return the host to try next, or None.
 
-        The last host that rejected the request or timed out is chosen only if there is
-        no other; those in `context.tried` are not chosen.
+        Hosts with an overdue attempt, and the last one that rejected the request or
+        timed out, are chosen only if there is no other; those in `context.tried` are
+        not chosen.
         """
         now = self._loop.time()
         candidates = self._state.host_registry.hosts_of(context.service)
         time_left_s = context.earliest_target_at - now
         choose = self._state.load_balancer.choose
         if context.avoided is not None:
-            excluded = [*context.tried, context.avoided]
+            overdue = (attempt.record.host for attempt in context.attempts)
+            excluded = [*context.tried, context.avoided, *overdue]
             other = choose(candidates, now, excluded=excluded, time_left_s=time_left_s)
             if other is not None:
                 return other
@@ -401,7 +403,7 @@
             record=record,
             sent_at=now,
             task=self._loop.create_task(
-                self._peer_client.send(record, context.request, hop_request)
+                self._run_attempt(context, record, hop_request)
             ),
         )
         state.load_balancer.record_sent(record.host)
@@ -414,7 +416,7 @@
             state.load_balancer.record_outcome(
                 record.host, failed=True, now=self._loop.time()
             )
-            upstream_result = UpstreamResult(TIMED_OUT_HOP_RESPONSE, None)
+            upstream_result = UNKNOWN_RESULT
         else:
             upstream_result = self._take_result(context, finished)
         if finished is attempt or finished is None:
@@ -443,7 +445,7 @@
             for overdue in done:
                 if self._is_usable(context, overdue.task.result()):
                     return overdue
-                context.attempts.remove(overdue)
+                self._take_result(context, overdue)
 
     async def _finish_overdue(self, context: RequestContext) -> Response:
         """Wait for the overdue attempts, as no other host takes the request."""
@@ -455,6 +457,22 @@
                     return self._deliver(context, response)
         return self._fail_request(context)
 
+    async def _run_attempt(
+        self, context: RequestContext, record: HostRecord, hop_request: HopRequest
+    ) -> UpstreamResult:
+        """Send the request to a host; a fault leaves its outcome unknown."""
+        try:
+            return await self._peer_client.send(record, context.request, hop_request)
+        except Exception as error:  # other attempts may still succeed
+            self._state.log.failure(
+                "request.fault",
+                self._loop.time(),
+                request=context.request_id,
+                peer=record.host,
+                error=repr(error),
+            )
+            return UNKNOWN_RESULT
+
     async def _wait_for_attempts(
         self, context: RequestContext, timeout_at: float | None
     ) -> list[Attempt]:
@@ -479,6 +497,10 @@
         context.sent_at = attempt.sent_at
         upstream_result = attempt.task.result()
         self._feedback.record_response(context, attempt.record, upstream_result)
+        if upstream_result.response is not None and not self._is_usable(
+            context, upstream_result
+        ):
+            context.server_error = upstream_result.response
         return upstream_result
 
     def _count_attempt(
--- a/packages/lavenderway-relay/lavenderway_relay/running_requests.py
+++ b/packages/lavenderway-relay/lavenderway_relay/running_requests.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -52,14 +53,28 @@
 
     def __init__(self) -> None:
         self._running: dict[bytes, RunningRequest] = {}
+        self._run_counts: Counter[bytes] = Counter()
 
-    def begin(self, request_id: bytes, running: RunningRequest) -> None:
-        """Add a request that is about to be sent to the upstream."""
-        self._running[request_id] = running
+    def begin(self, request_id: bytes, running: RunningRequest) -> RunningRequest:
+        """Add a run that is about to be sent to the upstream.
+
+        Calls of two runs of one request cannot be told apart, so both share the state
+        of the first.
+
+        Returns:
+            The state of the run, which counts its calls.
+
+        """
+        shared = self._running.setdefault(request_id, running)
+        self._run_counts[request_id] += 1
+        return shared
 
     def end(self, request_id: bytes) -> None:
-        """Remove a request that has ended."""
-        self._running.pop(request_id, None)
+        """Remove a run that has ended."""
+        self._run_counts[request_id] -= 1
+        if self._run_counts[request_id] <= 0:
+            del self._run_counts[request_id]
+            self._running.pop(request_id, None)
 
     def find_parent(self, request_id: bytes) -> RunningRequest | None:
         """Return the running request that made a call, or None for a root request."""
--- a/packages/lavenderway-relay/lavenderway_relay/upstream_runner.py
+++ b/packages/lavenderway-relay/lavenderway_relay/upstream_runner.py
@@ -311,7 +311,7 @@
         data = encode_request(
             self._upstream_request(request, hop_request, upstream, deadline - now)
         )
-        self._state.running_requests.begin(request_id, running)
+        running = self._state.running_requests.begin(request_id, running)
         try:
             async with asyncio.timeout_at(deadline + CANCELLATION_MARGIN_S):
                 response = await self._pool.exchange(
