Bound callers by sockets, and keep new connections until their first request

With all other connections busy, a new one was the only idle one and was closed at once, so that a node at its limit refused whoever came. A connection whose response was unread when it was chosen left the list of idle ones for good. The settings count files as descriptors, of which the platform keeps 200, so that the share of callers was too large. A limit taken out of the settings stayed in force.

Change: connections are surplus from their first response on, or after the time in which a first request arrives; skipped ones are found again by the next check. The limit counts sockets.

--- a/packages/lavenderway-relay/lavenderway_relay/node.py
+++ b/packages/lavenderway-relay/lavenderway_relay/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import signal
 import time
@@ -39,9 +40,9 @@
     idle_timeout_s=60.0,  # longer than a peer's pool keeps an idle connection
 )
 PEER_UNACKNOWLEDGED_TIMEOUT_MS = 1_500  # peers read responses as they arrive
-# Part of the descriptors for connections of callers; the rest is for those of peers, to
-# the upstream and to other nodes.
-CALLER_DESCRIPTOR_SHARE = 0.4
+# Part of the sockets for connections of callers; the rest is for those of peers, to the
+# upstream and to other nodes.
+CALLER_SOCKET_SHARE = 0.4
 DEPARTURE_WRITE_TIMEOUT_S = 0.6  # announcements must get a response within a second
 LEAVE_TIME_S = 2.4  # callers leave after two failed readiness checks of a second each
 MAX_LEAVE_SHARE = 0.5  # of the grace period; the rest is for completing what was taken
@@ -426,11 +427,10 @@
         self.state.log.state("node.reloaded", now, changed=settings != active_settings)
 
     def _limit_connections(self) -> None:
-        max_descriptors = self.state.settings.max_descriptors
-        if max_descriptors is not None:
-            self._caller_server.max_connections = (
-                CALLER_DESCRIPTOR_SHARE * max_descriptors
-            )
+        max_sockets = self.state.settings.max_sockets
+        self._caller_server.max_connections = (
+            math.inf if max_sockets is None else CALLER_SOCKET_SHARE * max_sockets
+        )
 
     def _add_gauges(self) -> None:
         metrics = self.state.metrics
--- a/packages/lavenderway-relay/lavenderway_relay/server.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server.py
@@ -141,7 +141,6 @@
         if timeout_ms is not None:
             set_unacknowledged_timeout(transport, timeout_ms)
         self._server.connections.add(self)
-        self._server.idle[self] = None
         self._server.close_surplus()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -429,7 +428,8 @@
 
     Attributes:
         connections: The open connections.
-        idle: The idle connections, as keys, in the order in which they became idle.
+        idle: Idle connections, as keys, in the order in which they became idle. New
+            ones are added if their first request takes long.
         max_connections: Number of connections above which idle ones are closed, the
             longest idle first.
         stopping: Whether each connection closes after the response to its last
@@ -482,7 +482,7 @@
         while len(self.connections) > self.max_connections and self.idle:
             connection = next(iter(self.idle))
             del self.idle[connection]
-            if not connection.busy and not connection.has_unread_response:
+            if not connection.has_unread_response:
                 connection.close_when_idle()
                 self.connections.discard(connection)
 
@@ -503,8 +503,11 @@
                     connection.idle_since = now
                 else:
                     overdue.append(connection)
+            elif connection.is_idle(now, FIRST_REQUEST_DELAY_S):
+                self.idle.setdefault(connection)
         if overdue:
             self.loop.call_later(READ_DELAY_S, self._close_overdue, overdue, now)
+        self.close_surplus()
 
     def _close_overdue(self, connections: list[ServerConnection], now: float) -> None:
         head_timeout_s = self.limits().head_timeout_s
