Never reuse a connection for a repeat whose error response it has carried

What callers could see: an order refused as not run although it runs, or run twice.

Cause: responses are matched to requests by the request's id alone, and a repeat has the id of the attempt that it repeats. If an upstream rejects an attempt, a repeat goes to it on the same kept connection, and a late copy of the rejection arrives first, then the copy passes for the response to the repeat, which is running.

Change: a connection remembers the ids of requests that got an error status on it (64 at most, then it closes), and the pool takes another connection for them.

--- a/packages/lavenderway-relay/lavenderway_relay/client.py
+++ b/packages/lavenderway-relay/lavenderway_relay/client.py
@@ -33,6 +33,8 @@
 # uvloop would read up to 32 times in a row.
 LARGE_READ_BYTES = 65_536
 MIN_FINAL_STATUS = 200  # lower status codes mark interim responses
+MIN_ERROR_STATUS = 400
+MAX_FAILED_IDS = 64  # per connection; it is then closed, to bound its memory
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
 
@@ -68,6 +70,8 @@
 
     Attributes:
         broken: Whether the connection cannot carry another request.
+        failed_ids: IDs of requests that got an error status on this connection. A
+            late copy of such a response would pass for that to a repeat.
         idle_since: When the connection became idle, in event loop seconds; set by
             the connection pool.
         keep_alive_s: Idle timeout that the server states in `Keep-Alive`, in seconds;
@@ -97,6 +101,7 @@
         "_unacknowledged_timeout_ms",
         "_waiter",
         "broken",
+        "failed_ids",
         "idle_since",
         "keep_alive_s",
     )
@@ -131,6 +136,7 @@
         self._framed = False
         self._ends_at_eof = False
         self.broken = False
+        self.failed_ids: set[bytes] = set()
         self.idle_since = 0.0
         self.keep_alive_s: float | None = None
 
@@ -308,6 +314,9 @@
             return
         unsent = self._transport.get_write_buffer_size() > 0
         self._waiter = None
+        if self._status >= MIN_ERROR_STATUS and self._expected_id is not None:
+            self.failed_ids.add(self._expected_id)
+            reusable = reusable and len(self.failed_ids) < MAX_FAILED_IDS
         if unsent or not reusable:
             self.broken = True
         response = Response(
--- a/packages/lavenderway-relay/lavenderway_relay/pools.py
+++ b/packages/lavenderway-relay/lavenderway_relay/pools.py
@@ -102,7 +102,7 @@
                 have been executed.
 
         """
-        connection = self._acquire(address, max_idle_s)
+        connection = self._acquire(address, max_idle_s, expected_id)
         if connection is None:
             connection = await self._connect(address)
             idle_s = 0.0
@@ -175,17 +175,22 @@
             return max_idle_s
         return min(max_idle_s, limit.idle_s)
 
-    def _acquire(self, address: Address, max_idle_s: float) -> ClientConnection | None:
-        connections = self._idle.get(address)
+    def _acquire(
+        self, address: Address, max_idle_s: float, request_id: bytes | None
+    ) -> ClientConnection | None:
+        """Remove and return the newest idle connection that is usable for a request."""
+        connections = self._idle.get(address, [])
         now = self._loop.time()
         max_idle_s = self._apply_idle_limit(address, max_idle_s, now)
-        while connections:
-            connection = connections.pop()
+        for index in reversed(range(len(connections))):
+            connection = connections[index]
             if connection.broken:
-                continue
-            if _is_usable(connection, now, max_idle_s):
-                return connection
-            connection.abort()
+                del connections[index]
+            elif not _is_usable(connection, now, max_idle_s):
+                del connections[index]
+                connection.abort()
+            elif request_id not in connection.failed_ids:
+                return connections.pop(index)
         return None
 
     def _release(self, address: Address, connection: ClientConnection) -> None:
--- a/tests/relay/test_connections.py
+++ b/tests/relay/test_connections.py
@@ -122,6 +122,50 @@
         self.assertEqual(2, connections)
         await asyncio.sleep(0.1)  # let the script finish
 
+    async def test_late_copy_of_rejection_does_not_reach_repeat(self) -> None:
+        rejection = COMPLETE_RESPONSE.replace(b"200 OK", b"503 Full")
+        connections = 0
+
+        async def script(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal connections
+            connections += 1
+            if connections == 1:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(rejection)
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(rejection)
+            else:
+                await reader.readuntil(b"\r\n\r\n")
+            writer.write(COMPLETE_RESPONSE)
+            writer.close()
+
+        await self.start(script)
+        self.assertEqual(503, (await self.exchange()).status)
+        self.assertEqual(200, (await self.exchange()).status)
+
+    async def test_connection_is_reused_for_other_requests_after_rejection(
+        self,
+    ) -> None:
+        connections = 0
+
+        async def script(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal connections
+            connections += 1
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(COMPLETE_RESPONSE.replace(b"200 OK", b"503 Full"))
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(COMPLETE_RESPONSE.replace(b"x-id: 1", b"x-id: 2"))
+            writer.close()
+
+        await self.start(script)
+        self.assertEqual(503, (await self.exchange()).status)
+        self.assertEqual(200, (await self.exchange(b"2")).status)
+        self.assertEqual(1, connections)
+
     async def test_idle_limit_adapts_to_server_that_drops_connections(self) -> None:
         async def script(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
