Acknowledge no departure of an upstream that is not stored

What callers could see: requests sent to an upstream that had left, after a node restart.

Cause: while the store turned a node away, it acknowledged departures that only its memory held. If it was then killed, its next process read the older row, took the upstream as ready and sent it requests, until the next announcement or, after a deregistration, for four missed ones.

Change: a running node, like a stopping one before, acknowledges a departure only once it is stored. The upstream is not used meanwhile, and asks again.

Tests: the new one, deregistration, SIGKILL and restart while the store refuses the node, failed before with 'True is not false'. test_draining_while_the_store_is_unavailable required the acknowledgement that is wrong; it now requires a 503, no further request, and the acknowledgement once the store is back. 8 tests of both classes pass.

--- a/packages/lavenderway-relay/lavenderway_relay/node.py
+++ b/packages/lavenderway-relay/lavenderway_relay/node.py
@@ -211,8 +211,8 @@
         `DEPARTURE_WRITE_TIMEOUT_S` at the latest.
 
         Returns:
-            Whether to acknowledge it. A node that stops acknowledges no departure that
-            is not stored, as its next process would not know it.
+            Whether to acknowledge it. A departure that is not stored is not
+            acknowledged, as the node's next process would not know it.
 
         """
         effect = self.state.local_upstream.announce(upstream, self._loop.time())
@@ -254,7 +254,7 @@
             self._sync.publish()
             if status is not UpstreamStatus.READY:
                 await self._sync.wait_until_published(DEPARTURE_WRITE_TIMEOUT_S)
-        return self.state.serving or not self._has_unstored_departure()
+        return not self._has_unstored_departure()
 
     def render_metrics(self) -> Response:
         """Return the metrics in the Prometheus text format."""
