--- a/packages/lavenderway-relay/lavenderway_relay/node.py
+++ b/packages/lavenderway-relay/lavenderway_relay/node.py
@@ -267,6 +267,10 @@
             "upstream.malformed", self._loop.time(), target=target, error=error
         )
 
+    def log_fault(self, error: Exception) -> None:
+        """Log an unexpected error of a listener that the platform defines."""
+        self.state.log.state("node.fault", self._loop.time(), error=repr(error))
+
     async def _tick(self) -> None:
         due = self._loop.time()
         ticks = 0
@@ -282,7 +286,7 @@
                 if ticks % SETTINGS_CHECK_TICKS == 0:
                     self._reload_if_changed()
             except Exception as error:  # later ticks and the flush must still run
-                self.state.log.state("node.fault", now, error=repr(error))
+                self.log_fault(error)
             self.state.log.flush()
 
     def _tick_once(self, now: float) -> None:
--- a/packages/lavenderway-relay/lavenderway_relay/records.py
+++ b/packages/lavenderway-relay/lavenderway_relay/records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ipaddress import IPv4Address
 from typing import Any
 
 import orjson
@@ -10,6 +11,8 @@
 from lavenderway_relay.model import Address, HostRecord, Upstream, UpstreamStatus
 from lavenderway_relay.revision import Revision, decode_revision, encode_revision
 
+PORTS = range(1, 65536)
+
 
 class RecordFormatError(Exception):
     """A host record cannot be decoded."""
@@ -22,10 +25,16 @@
         ValueError: The text does not have this form.
 
     """
-    ip, separator, port = text.rpartition(":")
-    if not separator or not ip:
-        raise ValueError(f"{text!r} is not an address; expected the form ip:port")
-    return Address(ip, int(port))
+    ip, _, port = text.rpartition(":")
+    try:
+        address = Address(str(IPv4Address(ip)), int(port))
+    except ValueError as error:
+        raise ValueError(
+            f"{text!r} is not an address; expected the form ip:port"
+        ) from error
+    if str(address) != text or address.port not in PORTS:
+        raise ValueError(f"{text!r}: expected a port from 1 to 65535")
+    return address
 
 
 def encode_record(record: HostRecord) -> bytes:
@@ -86,7 +95,7 @@
             id=UpstreamId(_require_str(upstream_fields, "id")),
             service=ServiceId(_require_str(upstream_fields, "service")),
             address=parse_address(_require_str(upstream_fields, "address")),
-            slots=int(upstream_fields["slots"]),
+            slots=max(1, int(upstream_fields["slots"])),
             status=UpstreamStatus(upstream_fields["status"]),
             started_ms=int(upstream_fields["born"]),
             sequence=int(upstream_fields["sequence"]),
