Bound the calls of the whole fleet to the store while hosts change or it fails

Cause: each node read the changed hosts every two seconds, however many nodes there are, and both of its feeds looked for the recovery of a failing store.

Change: the pause after changes of the hosts grows with the fleet, from 2 s at 66 hosts to 6 s at 198, so that all nodes together make 33 calls a second; a new era ends it. Nodes still learn of newer state from the responses of peers. While the store fails, the feed of the hosts waits for that of the configuration, for 5 s at most.

--- a/packages/lavenderway-relay/lavenderway_relay/feeds.py
+++ b/packages/lavenderway-relay/lavenderway_relay/feeds.py
@@ -22,6 +22,9 @@
 VERIFYING_POLL_S = 0.001  # answered at once, if only to learn the era
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0  # bounds how late a recovered store is noticed
+# Longest time for which a feed leaves it to another one to look for the recovery of the
+# store, in case only calls of that feed fail.
+MAX_LEADER_WAIT_S = 5.0
 
 STORE_FAILURES = (StoreUnavailableError, OutcomeUnknownError)
 
@@ -65,13 +68,15 @@
     Args:
         table: Name of the table.
         handle_snapshot: Called with each snapshot.
-        coalesce_delay_s: Pause after changes, so that one call reads those made
-            meanwhile, in seconds.
+        coalesce_delay_s: Returns the pause after changes, so that one call reads those
+            made meanwhile, in seconds.
         state: State of the node.
         store: Client of the platform's table service.
         era: The store's present era.
         loop: The event loop.
         random: Returns a random number in [0, 1).
+        leader: Feed that looks for the recovery of the store on behalf of this one;
+            None for a feed that looks itself.
 
     Attributes:
         healthy: Whether the last call succeeded; None before the first.
@@ -83,12 +88,13 @@
         *,
         table: str,
         handle_snapshot: Callable[[Snapshot], None],
-        coalesce_delay_s: float,
+        coalesce_delay_s: Callable[[], float],
         state: NodeState,
         store: Store,
         era: StoreEra,
         loop: asyncio.AbstractEventLoop,
         random: Callable[[], float],
+        leader: TableFeed | None = None,
     ) -> None:
         self._table = table
         self._handle_snapshot = handle_snapshot
@@ -98,14 +104,18 @@
         self._era = era
         self._loop = loop
         self._random = random
+        self._leader = leader
+        self._recovered = asyncio.Event()
         self._position: Revision | None = None
         self._verifying = False
+        self._verification_requested = asyncio.Event()
         self._poll_timeout: asyncio.Timeout | None = None
         self.healthy: bool | None = None
 
     def verify_era(self) -> None:
-        """End a pending long poll, and learn the store's era by a short one."""
+        """End a pending long poll or pause, and learn the era by a short poll."""
         self._verifying = True
+        self._verification_requested.set()
         if self._poll_timeout is not None and not self._poll_timeout.expired():
             self._poll_timeout.reschedule(self._loop.time())
 
@@ -121,7 +131,7 @@
                 backoff_s = MIN_BACKOFF_S
                 self._update_health(None)
                 if snapshot.rows:
-                    await asyncio.sleep(self._coalesce_delay_s)
+                    await self._pause()
             except HistoryLostError:
                 self._state.log.state(
                     "feed.reread", self._loop.time(), table=self._table
@@ -137,9 +147,35 @@
                 # that it then gives out again would miss the changes up to there.
                 self._verifying = True
                 self._update_health(error)
-                await asyncio.sleep(backoff_s * (0.5 + self._random()))
+                await self._wait_for_recovery(backoff_s * (0.5 + self._random()))
                 backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
 
+    async def _wait_for_recovery(self, backoff_s: float) -> None:
+        """Wait until the store may have recovered."""
+        if self._leader is None or self._leader.healthy is not False:
+            await asyncio.sleep(backoff_s)
+            return
+        try:
+            async with asyncio.timeout(MAX_LEADER_WAIT_S):
+                await self._leader.wait_until_recovered()
+        except TimeoutError:
+            pass
+
+    async def wait_until_recovered(self) -> None:
+        """Wait until the next call after a failure has succeeded."""
+        await self._recovered.wait()
+
+    async def _pause(self) -> None:
+        """Let further changes accumulate, unless the era is to be verified."""
+        self._verification_requested.clear()
+        if self._verifying:
+            return
+        try:
+            async with asyncio.timeout(self._coalesce_delay_s()):
+                await self._verification_requested.wait()
+        except TimeoutError:
+            pass
+
     async def _read(self) -> Snapshot | None:
         """Return the whole table or its next changes; None to call again at once."""
         verifying, self._verifying = self._verifying, False
@@ -180,6 +216,10 @@
         if self.healthy is healthy:
             return
         self.healthy = healthy
+        if healthy:
+            self._recovered.set()
+        else:
+            self._recovered.clear()
         event = "store.regained" if healthy else "store.lost"
         self._state.log.state(
             event,
--- a/packages/lavenderway-relay/lavenderway_relay/sync.py
+++ b/packages/lavenderway-relay/lavenderway_relay/sync.py
@@ -50,13 +50,32 @@
 PEER_PULL_INTERVAL_S = 0.3  # used while the store is unavailable
 PEER_PULL_DELAY_S = 0.15  # the feed usually delivers the change within this time
 MAX_CONFIRMING_PEERS = 8  # nodes that a restarted node asks for its own record
-# Pauses after a feed response, so that one call reads the changes made meanwhile. A
-# configuration change is applied almost at once. A host change is delayed, because each
-# one ends the long polls of all other nodes. Until it is read, the node beside an
-# upstream refuses the requests that the upstream must not get, and responses of peers
-# show sooner that newer state exists.
+# Pause after a change of the configuration, so that one call reads the changes made
+# meanwhile.
 CONFIG_COALESCE_DELAY_S = 0.05
-HOSTS_COALESCE_DELAY_S = 2.0
+# Calls of all nodes together that read changes of the hosts; each change ends the long
+# polls of all of them.
+HOST_FEED_CALLS_PER_S = 33.0
+MIN_HOSTS_COALESCE_DELAY_S = 2.0
+# Bounds how late a host that no peer has mentioned gets its first requests.
+MAX_HOSTS_COALESCE_DELAY_S = 6.0
+
+
+def hosts_coalesce_delay_s(hosts: int) -> float:
+    """Return the pause of a node after it has read changes of the hosts, in seconds.
+
+    Designed for fleets in which hosts change all the time, such as in a release. The
+    calls to the store of all nodes together stay within `HOST_FEED_CALLS_PER_S` until
+    the pause is at its maximum. Changes that are not read yet do no harm: the node
+    beside an upstream refuses the requests that the upstream must not get, and the
+    responses of peers show that newer state exists.
+
+    Args:
+        hosts: Number of hosts of the fleet.
+
+    """
+    delay_s = hosts / HOST_FEED_CALLS_PER_S
+    return min(MAX_HOSTS_COALESCE_DELAY_S, max(MIN_HOSTS_COALESCE_DELAY_S, delay_s))
 
 
 class ConfigurationFormatError(Exception):
@@ -102,26 +121,18 @@
         self._random = random
         self._decode_configuration = decode_configuration
         self._config_key = config_key
-        self._feeds = [
-            TableFeed(
-                table=table,
-                handle_snapshot=handle_snapshot,
-                coalesce_delay_s=coalesce_delay_s,
-                state=state,
-                store=store,
-                era=self._store_era,
-                loop=loop,
-                random=random,
-            )
-            for table, handle_snapshot, coalesce_delay_s in (
-                (
-                    config_table,
-                    self._handle_configuration_rows,
-                    CONFIG_COALESCE_DELAY_S,
-                ),
-                (HOSTS_TABLE, self._handle_host_rows, HOSTS_COALESCE_DELAY_S),
-            )
-        ]
+        config_feed = self._make_feed(
+            config_table,
+            self._handle_configuration_rows,
+            lambda: CONFIG_COALESCE_DELAY_S,
+        )
+        hosts_feed = self._make_feed(
+            HOSTS_TABLE,
+            self._handle_host_rows,
+            lambda: hosts_coalesce_delay_s(state.token_owners.host_count),
+            leader=config_feed,
+        )
+        self._feeds = [config_feed, hosts_feed]
         self._own_row = NO_REVISION  # era and version of the stored row
         self._restore_task: asyncio.Task[None] | None = None
         self._own_record_restored = asyncio.Event()
@@ -131,6 +142,25 @@
         self._tasks: list[asyncio.Task[None]] = []
         peer_client.on_newer_state = self._schedule_pull
 
+    def _make_feed(
+        self,
+        table: str,
+        handle_snapshot: Callable[[Snapshot], None],
+        coalesce_delay_s: Callable[[], float],
+        leader: TableFeed | None = None,
+    ) -> TableFeed:
+        return TableFeed(
+            table=table,
+            handle_snapshot=handle_snapshot,
+            coalesce_delay_s=coalesce_delay_s,
+            state=self._state,
+            store=self._store,
+            era=self._store_era,
+            loop=self._loop,
+            random=self._random,
+            leader=leader,
+        )
+
     def start(self) -> None:
         """Start reading the feeds, writing the own record and pulling from peers."""
         for coroutine in (
--- a/tests/relay/test_feeds.py
+++ b/tests/relay/test_feeds.py
@@ -7,6 +7,7 @@
 from lavenderway_relay.feeds import StoreEra, TableFeed
 from lavenderway_relay.revision import Revision
 from lavenderway_relay.store import OutcomeUnknownError, Snapshot, StoreUnavailableError
+from lavenderway_relay.sync import hosts_coalesce_delay_s
 
 from tests.relay.support import ScriptedStore, make_state
 
@@ -16,9 +17,11 @@
 class TableFeedCase(unittest.IsolatedAsyncioTestCase):
     """A feed of one table of a scripted store."""
 
+    coalesce_delay_s = 0.0
+
     async def asyncSetUp(self) -> None:
-        log = os.open(os.devnull, os.O_WRONLY)
-        self.addCleanup(os.close, log)
+        self.log = os.open(os.devnull, os.O_WRONLY)
+        self.addCleanup(os.close, self.log)
         self.store = ScriptedStore()
         self.restored: list[tuple[int, int]] = []
         self.era = StoreEra(on_restored=self.handle_restored_store)
@@ -26,8 +29,8 @@
         self.feed = TableFeed(
             table=TABLE,
             handle_snapshot=self.handle_snapshot,
-            coalesce_delay_s=0.0,
-            state=make_state(log=log),
+            coalesce_delay_s=lambda: self.coalesce_delay_s,
+            state=make_state(log=self.log),
             store=self.store,
             era=self.era,
             loop=asyncio.get_running_loop(),
@@ -96,6 +99,65 @@
         self.assertLessEqual(self.store.calls - calls, 6)
 
 
+class CoalescedChanges(TableFeedCase):
+    """A feed reads the changes made during its pause by one call."""
+
+    coalesce_delay_s = 0.5
+
+    async def test_changes_in_succession_cost_one_call(self) -> None:
+        calls = self.store.calls
+        for number in range(20):
+            self.store.put(TABLE, "first", b"%d" % number)
+            await asyncio.sleep(0.01)
+        await self.wait_for_value("first", b"19")
+        self.assertLessEqual(self.store.calls - calls, 2)
+
+    async def test_new_era_ends_the_pause(self) -> None:
+        copy = self.store.save_copy()
+        self.store.restore(copy)
+        self.store.put(TABLE, "first", b"2")
+        self.era.observe(1)
+        await asyncio.sleep(0.1)
+        self.assertEqual(b"2", self.values["first"])
+
+
+class HostsCoalesceDelay(unittest.TestCase):
+    """All nodes together make a bounded number of calls while hosts change."""
+
+    def test_delay_grows_with_the_fleet_within_bounds(self) -> None:
+        for hosts, delay_s in ((0, 2.0), (14, 2.0), (99, 3.0), (195, 5.9), (710, 6.0)):
+            self.assertAlmostEqual(delay_s, hosts_coalesce_delay_s(hosts), 1)
+
+
+class FeedsDuringAnOutage(TableFeedCase):
+    """One feed looks for the recovery of the store, and the other waits for it."""
+
+    async def test_outage_costs_the_calls_of_one_feed(self) -> None:
+        follower = TableFeed(
+            table="other",
+            handle_snapshot=self.handle_snapshot,
+            coalesce_delay_s=lambda: 0.0,
+            state=make_state(log=self.log),
+            store=self.store,
+            era=self.era,
+            loop=asyncio.get_running_loop(),
+            random=lambda: 0.0,
+            leader=self.feed,
+        )
+        task = asyncio.create_task(follower.run())
+        self.addCleanup(task.cancel)
+        await asyncio.sleep(0.05)
+        self.store.fail(StoreUnavailableError("down"))
+        await asyncio.sleep(0.1)
+        calls = self.store.calls
+        await asyncio.sleep(1.0)
+        self.assertLessEqual(self.store.calls - calls, 5)
+        self.assertIs(False, follower.healthy)
+        self.store.put("other", "second", b"2")
+        self.store.fail(None)
+        await self.wait_for_value("second", b"2")
+
+
 class ObservedEras(unittest.TestCase):
     """A new era is reported once, and an older one is refused."""
 
