Look for a free slot at up to two hosts before waiting for one

What callers saw: with few slots a host and many entry nodes, requests queue at one host while others have free slots.

Cause: an entry node knows the load of a host from its last response, which says little if that is a second old.

Change: a request asks the first hosts to return it if it would wait for longer than half of a mean run (Outcome.BUSY; such a return reaches no upstream and is no retry), and waits at the third at the latest. Older nodes ignore the flag.

--- a/packages/lavenderway-relay/lavenderway_relay/caller_handler.py
+++ b/packages/lavenderway-relay/lavenderway_relay/caller_handler.py
@@ -28,6 +28,7 @@
 from lavenderway_relay.request_context import Attempt, RequestContext
 from lavenderway_relay.retry_budget import RetryBudget
 from lavenderway_relay.revision import NO_REVISION
+from lavenderway_relay.slot_search import SlotSearch
 from lavenderway_relay.upstream_runner import UpstreamResult
 
 if TYPE_CHECKING:
@@ -91,6 +92,7 @@
         self._loop = loop
         self._random = random
         self._retry_budgets: dict[ServiceId, RetryBudget] = {}
+        self._slot_searches: dict[ServiceId, SlotSearch] = {}
         self._feedback = ResponseFeedback(state=state, loop=loop)
         self._routing: dict[RequestContext, asyncio.Task[Any]] = {}
 
@@ -339,6 +341,8 @@
             upstream_result = await self._send(context, record)
             hop_response = upstream_result.hop_response
             context.last_outcome = hop_response.outcome
+            if self._record_search(context, record, hop_response.outcome):
+                continue
             if hop_response.outcome is Outcome.ANSWERED:
                 response = upstream_result.response
                 assert response is not None
@@ -360,20 +364,60 @@
             if hop_response.arrived:
                 self._log_retry(context, record)
 
+    def _record_search(
+        self, context: RequestContext, record: HostRecord, outcome: Outcome
+    ) -> bool:
+        """Record the result of a search for a free slot; return whether it goes on."""
+        if not context.searching:
+            return False
+        found = outcome is not Outcome.BUSY
+        if context.busy:
+            self._state.metrics.count("slot_searches", found=str(found).lower())
+            self._slot_search(context.service).record_search(
+                self._loop.time(), found=found
+            )
+        if not found:
+            context.busy.append(record.host)
+        return not found
+
+    def _slot_search(self, service: ServiceId) -> SlotSearch:
+        search = self._slot_searches.get(service)
+        if search is None:
+            search = self._slot_searches[service] = SlotSearch()
+        return search
+
     def _choose_host(self, context: RequestContext) -> HostRecord | None:
         """Return the host to try next, or None.
 
-        Hosts with an overdue attempt, and the last one that rejected the request or
-        timed out, are chosen only if there is no other; those in `context.tried` are
-        not chosen.
+        While the request looks for a free slot, hosts that were busy are not chosen; if
+        no other is reachable, the search ends. Hosts with an overdue attempt, and the
+        last one that rejected the request or timed out, are chosen only if there is no
+        other; those in `context.tried` are not chosen.
         """
         now = self._loop.time()
         candidates = self._state.host_registry.hosts_of(context.service)
         time_left_s = context.earliest_target_at - now
         choose = self._state.load_balancer.choose
-        if context.avoided is not None:
-            overdue = (attempt.record.host for attempt in context.attempts)
-            excluded = [*context.tried, context.avoided, *overdue]
+        context.searching = self._slot_search(context.service).may_search(
+            now,
+            busy_hosts=len(context.busy),
+            body_bytes=len(context.request.body),
+        )
+        overdue = [attempt.record.host for attempt in context.attempts]
+        avoided = [] if context.avoided is None else [context.avoided, *overdue]
+        if context.searching and context.busy:
+            other = choose(
+                candidates,
+                now,
+                excluded=[*context.tried, *avoided, *context.busy],
+                time_left_s=time_left_s,
+                last_resort=False,
+            )
+            if other is not None:
+                return other
+            context.searching = False
+        if avoided:
+            excluded = [*context.tried, *avoided]
             other = choose(candidates, now, excluded=excluded, time_left_s=time_left_s)
             if other is not None:
                 return other
@@ -398,6 +442,7 @@
             context.deadline - now,
             state.config_version,
             state.host_registry.revision,
+            not context.searching,
         )
         attempt = Attempt(
             record=record,
@@ -642,7 +687,7 @@
         if context.possible_runs:
             return self._refuse(context.request, Refusal.UNKNOWN, context)
         self._refund_token(context)
-        if last_outcome in (Outcome.NO_ROOM, Outcome.REJECTED):
+        if last_outcome in (Outcome.NO_ROOM, Outcome.BUSY, Outcome.REJECTED):
             retry_after_s = self._jitter(NO_ROOM_RETRY_AFTER_S)
             reason = Refusal.NO_ROOM
         else:
--- a/packages/lavenderway-relay/lavenderway_relay/concurrency.py
+++ b/packages/lavenderway-relay/lavenderway_relay/concurrency.py
@@ -36,6 +36,10 @@
 # time.
 CALL_WAIT_RUN_TIMES = 4.0
 MIN_CALL_WAIT_S = 0.1  # a burst of calls with short run times drains in this time
+# Predicted wait from which a request looks for a free slot at another host, as a
+# multiple of the mean run time. A shorter wait is often over before another host,
+# which may be slower or farther away, has started the request.
+BUSY_RUN_TIMES = 0.5
 MIN_LIMIT = 1
 # Applied to the limit, or to the running requests if there are fewer, each time that
 # the upstream rejects a request for lack of room; successive rejections compound while
@@ -135,6 +139,15 @@
         )
         return max(0.0, ahead * self.mean_s / self.limit)
 
+    def is_busy(self, start_by: float) -> bool:
+        """Return whether a request that arrives now would wait for long.
+
+        Args:
+            start_by: Latest start that meets its latency target.
+
+        """
+        return self.predict_wait(start_by) > BUSY_RUN_TIMES * self.mean_s
+
     def submit(self, slot_request: SlotRequest, now: float) -> SlotDecision:
         """Start a request, queue it, or refuse it because it would start too late.
 
--- a/packages/lavenderway-relay/lavenderway_relay/hops.py
+++ b/packages/lavenderway-relay/lavenderway_relay/hops.py
@@ -38,6 +38,8 @@
         deadline_s: Time left until the caller stops waiting, in seconds.
         config: Version of the sender's configuration.
         revision: Revision of the sender's host registry.
+        may_wait: Whether the request may wait for a slot; otherwise it is returned as
+            busy.
 
     """
 
@@ -53,6 +55,7 @@
     deadline_s: float
     config: int
     revision: Revision
+    may_wait: bool = True
 
 
 class Outcome(Enum):
@@ -61,6 +64,8 @@
     Attributes:
         ANSWERED: The upstream returned a usable response.
         NO_ROOM: No slot was free in time.
+        BUSY: The request would have to wait for a slot, which its entry node did not
+            want.
         ABSENT: The host or its upstream cannot be reached, or takes no requests for the
             service.
         STOPPING: The node is stopping.
@@ -71,6 +76,7 @@
 
     ANSWERED = "a"
     NO_ROOM = "r"
+    BUSY = "b"
     ABSENT = "g"
     STOPPING = "s"
     REJECTED = "j"
@@ -120,7 +126,7 @@
 def encode_hop_request(hop_request: HopRequest) -> bytes:
     """Return the hop header value of a request."""
     flags = (1 if hop_request.call else 0) | (2 if hop_request.retry else 0)
-    flags |= 4 if hop_request.idempotent else 0
+    flags |= (4 if hop_request.idempotent else 0) | (0 if hop_request.may_wait else 8)
     fields = (
         hop_request.sender,
         hop_request.service,
@@ -169,6 +175,7 @@
             deadline_ms / 1e3,
             int(config),
             decode_revision(revision),
+            not flags & 8,
         )
     except (TypeError, ValueError) as error:
         raise HopFormatError(f"cannot decode hop header {value!r}: {error}") from error
--- a/packages/lavenderway-relay/lavenderway_relay/load_balancer.py
+++ b/packages/lavenderway-relay/lavenderway_relay/load_balancer.py
@@ -132,6 +132,7 @@
         *,
         excluded: Collection[HostId] = (),
         time_left_s: float | None = None,
+        last_resort: bool = True,
     ) -> HostRecord | None:
         """Return the host with the lowest score, or one not contacted yet.
 
@@ -145,13 +146,15 @@
             excluded: Hosts that must not be returned.
             time_left_s: Time until the latency target, in seconds; None marks the
                 request as urgent.
+            last_resort: Whether to return an unreachable or absent host if there is no
+                other.
 
         """
         sample = self._sample(candidates)
         best, skipped = self._compare(sample, now, excluded, time_left_s)
         if best is None and len(sample) < len(candidates):
             best, skipped = self._compare(candidates, now, excluded, time_left_s)
-        if best is None and skipped:
+        if best is None and skipped and last_resort:
             return min(skipped, key=lambda entry: entry[0])[1]
         return best
 
--- a/packages/lavenderway-relay/lavenderway_relay/request_context.py
+++ b/packages/lavenderway-relay/lavenderway_relay/request_context.py
@@ -51,6 +51,8 @@
             latency target.
         deadline: Time at which the caller stops waiting, in seconds.
         tried: Hosts that are not tried again.
+        busy: Hosts that had no free slot; they are tried again to wait for one.
+        searching: Whether the next host may return the request if it is busy.
         avoided: Host that rejected the request or timed out; it is tried again only if
             there is no other.
         arrivals: Attempts that reached an upstream.
@@ -81,6 +83,8 @@
     earliest_target_at: float
     deadline: float
     tried: list[HostId] = field(default_factory=list)
+    busy: list[HostId] = field(default_factory=list)
+    searching: bool = False
     avoided: HostId | None = None
     arrivals: int = 0
     possible_runs: int = 0
--- a/packages/lavenderway-relay/lavenderway_relay/upstream_runner.py
+++ b/packages/lavenderway-relay/lavenderway_relay/upstream_runner.py
@@ -186,7 +186,11 @@
         if received < self._unreachable_until:
             return self._refused(Outcome.ABSENT)
         deadline = received + hop_request.deadline_s
-        if not await self._wait_for_slot(hop_request, received):
+        slot_request = self._make_slot_request(hop_request, received)
+        if not hop_request.may_wait and self._limiter.is_busy(slot_request.start_by):
+            return self._refused(Outcome.BUSY)
+        self._admission_level.record_arrival(hop_request.position, received)
+        if not await self._wait_for_slot(slot_request, received):
             # A queued request is refused if the upstream stops accepting requests.
             upstream_gone = not self._state.accepts_requests
             return self._refused(Outcome.ABSENT if upstream_gone else Outcome.NO_ROOM)
@@ -235,8 +239,7 @@
         self._limiter.release(None)
         self._start_queued()
 
-    async def _wait_for_slot(self, hop_request: HopRequest, now: float) -> bool:
-        """Wait for a slot; return whether one was obtained."""
+    def _make_slot_request(self, hop_request: HopRequest, now: float) -> SlotRequest:
         mean_s = self._limiter.mean_s
         # The mean run time, but at most half of the time left, is kept for the run.
         # `start_by` orders the queue, and a root request expected to start later is
@@ -244,12 +247,14 @@
         latest_start = (
             now + hop_request.deadline_s - min(mean_s, hop_request.deadline_s / 2)
         )
-        slot_request = SlotRequest(
+        return SlotRequest(
             start_by=min(latest_start, now + max(hop_request.target_s - mean_s, 0.0)),
             expires_at=latest_start,
             call=hop_request.call,
         )
-        self._admission_level.record_arrival(hop_request.position, now)
+
+    async def _wait_for_slot(self, slot_request: SlotRequest, now: float) -> bool:
+        """Wait for a slot; return whether one was obtained."""
         decision = self._limiter.submit(slot_request, now)
         if decision is SlotDecision.START:
             return True
@@ -257,7 +262,7 @@
             return False
         waiter: asyncio.Future[bool] = self._loop.create_future()
         self._waiters[slot_request] = waiter
-        timer = self._loop.call_at(latest_start, self._expire, slot_request)
+        timer = self._loop.call_at(slot_request.expires_at, self._expire, slot_request)
         try:
             return await waiter
         except asyncio.CancelledError:
--- a/tests/relay/test_caller_handler.py
+++ b/tests/relay/test_caller_handler.py
@@ -64,6 +64,7 @@
         self.status = 200
         self.sent: list[str] = []
         self.hop_requests: list[HopRequest] = []
+        self.is_busy: set[str] = set()
         self.unanswered: set[str] = set()
         self.unanswered_once: set[str] = set()
         self.delay_s = 0.0
@@ -79,6 +80,8 @@
         self.sent.append(record.host)
         self.hop_requests.append(hop_request)
         hop_response = self.hop_responses.get(record.host, make_hop_response())
+        if record.host in self.is_busy and not hop_request.may_wait:
+            return UpstreamResult(make_hop_response(Outcome.BUSY), None)
         if self.first_answers_after is not None:
             await self._answer_first(self.first_answers_after)
             hop_response = make_hop_response()
@@ -281,6 +284,39 @@
             await sending
 
 
+class BusyHosts(CallerHandlerCase):
+    """Hosts that return requests, which would have to wait for a slot there."""
+
+    idempotent = False
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.peer_client.is_busy = {"a"}
+        await self.send()
+
+    async def test_request_goes_to_the_other_host(self) -> None:
+        for _ in range(10):
+            self.assertEqual(200, (await self.send()).status)
+
+    async def test_request_waits_if_every_host_is_busy(self) -> None:
+        self.peer_client.is_busy = {"a", "b"}
+        for _ in range(10):
+            self.peer_client.sent.clear()
+            self.peer_client.hop_requests.clear()
+            self.assertEqual(200, (await self.send()).status)
+            self.assertLessEqual(len(self.peer_client.sent), 3)
+            self.assertTrue(self.peer_client.hop_requests[-1].may_wait)
+
+    async def test_request_waits_rather_than_going_to_an_unreachable_host(
+        self,
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        self.state.load_balancer.mark_unreachable(HostId("b"), now)
+        self.peer_client.sent.clear()
+        self.assertEqual(200, (await self.send()).status)
+        self.assertEqual({"a"}, set(self.peer_client.sent))
+
+
 class RetriesWithoutRoom(CallerHandlerCase):
     """Responses to the caller if one host has no room and the other failed."""
 
--- a/tests/relay/test_hops.py
+++ b/tests/relay/test_hops.py
@@ -32,6 +32,7 @@
     2.5,
     7,
     Revision(0, 9),
+    False,
 )
 HOP_RESPONSE = HopResponse(
     Outcome.NO_ROOM,
