Avoid a whole failure domain once several of its hosts are lost

What callers saw: in a partition of a failure domain each node found each host of it by a request that failed after a timeout; with 39 hosts a domain, 39 delayed requests a node.

Change: three hosts of another failure domain that are lost without a response of the domain since make all of its hosts a last resort (DomainReachability). The lost ones and one other host are probed; a response of any ends it.

--- a/packages/lavenderway-relay/lavenderway_relay/load_balancer.py
+++ b/packages/lavenderway-relay/lavenderway_relay/load_balancer.py
@@ -11,8 +11,8 @@
 Each request goes to the host with the lowest score, among all hosts of a small service
 or among a sample of a larger one. Hosts among these that this node has not contacted
 yet are chosen first, each once, so that they report their state. Hosts that are
-unreachable or absent are a last resort; absent means that the upstream takes no
-requests.
+unreachable, by themselves or with their failure domain, or absent are a last resort;
+absent means that the upstream takes no requests.
 """
 
 from __future__ import annotations
@@ -21,6 +21,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from lavenderway_relay.domain_reachability import DomainReachability
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
 
@@ -86,6 +88,7 @@
         contacted: Whether this node has chosen the host since the last reset; not set
             for its own host.
         absent_until: Time until which the host is skipped as absent, in seconds.
+        failure_domain: Failure domain of the host; None until it has been a candidate.
 
     """
 
@@ -101,6 +104,7 @@
     probe_delay_s: float = INITIAL_PROBE_DELAY_S
     contacted: bool = False
     absent_until: float = -1e9
+    failure_domain: FailureDomainId | None = None
 
 
 class LoadBalancer:
@@ -124,6 +128,7 @@
         self._failure_domain = failure_domain
         self._random = random
         self._stats_by_host: dict[HostId, _HostStats] = {}
+        self._domains = DomainReachability(own_domain=failure_domain)
 
     def choose(
         self,
@@ -200,9 +205,13 @@
             if record.host in excluded:
                 continue
             stats = self._stats_of(record.host)
+            stats.failure_domain = record.failure_domain
             if stats.unreachable:
                 skipped.append((stats.probe_at, record))
                 continue
+            if not self._domains.is_reachable(record.failure_domain, now):
+                skipped.append((now + MAX_PROBE_DELAY_S, record))
+                continue
             if stats.absent_until > now:
                 skipped.append((stats.absent_until, record))
                 continue
@@ -230,6 +239,8 @@
             stats = self._stats_of(record.host)
             if record.host in excluded or stats.unreachable:
                 continue
+            if not self._domains.is_reachable(record.failure_domain, now):
+                continue
             if stats.absent_until <= now and stats.load < FULL_LOAD:
                 return True
         return False
@@ -254,8 +265,7 @@
         stats.mean_s = mean_s
         stats.reported_at = now
         stats.outstanding_at_report = stats.outstanding
-        stats.unreachable = False
-        stats.probe_delay_s = INITIAL_PROBE_DELAY_S
+        self.mark_reachable(host)
 
     def record_outcome(self, host: HostId, *, failed: bool, now: float) -> None:
         """Record whether a request counts as failed by the upstream of a host."""
@@ -277,6 +287,8 @@
         stats.unreachable = True
         stats.probe_at = now + stats.probe_delay_s
         stats.probe_delay_s = min(MAX_PROBE_DELAY_S, stats.probe_delay_s * 2)
+        if stats.failure_domain is not None:
+            self._domains.record_loss(stats.failure_domain, host, now)
         return was_reachable
 
     def mark_reachable(self, host: HostId) -> None:
@@ -284,10 +296,23 @@
         stats = self._stats_of(host)
         stats.unreachable = False
         stats.probe_delay_s = INITIAL_PROBE_DELAY_S
+        if stats.failure_domain is not None:
+            self._domains.record_response(stats.failure_domain)
 
     def due_probes(self, now: float) -> list[HostId]:
-        """Return the unreachable hosts to probe now, and schedule their next probes."""
+        """Return the hosts to probe now, and schedule the next probes.
+
+        These are unreachable hosts, and one other of each unreachable failure domain.
+        """
         due = []
+        for domain in self._domains.due_probes(now):
+            others = [
+                host
+                for host, stats in self._stats_by_host.items()
+                if stats.failure_domain == domain and not stats.unreachable
+            ]
+            if others:
+                due.append(others[int(self._random() * len(others))])
         for host, stats in self._stats_by_host.items():
             if stats.unreachable and stats.probe_at <= now:
                 stats.probe_at = now + stats.probe_delay_s
@@ -306,7 +331,9 @@
         """
         known = self._stats_by_host.get(host)
         if known is not None:
-            self._stats_by_host[host] = _HostStats(outstanding=known.outstanding)
+            self._stats_by_host[host] = _HostStats(
+                outstanding=known.outstanding, failure_domain=known.failure_domain
+            )
 
     def _is_urgent(
         self, candidates: Collection[HostRecord], time_left_s: float | None
--- a/tests/relay/test_host_registry.py
+++ b/tests/relay/test_host_registry.py
@@ -242,6 +242,64 @@
         self.load_balancer.reset_host(self.far.host)
         self.assertEqual(self.far, self.load_balancer.choose(self.candidates, 0.2))
 
+    def lose_hosts_of_west(self, count: int, now: float) -> list[HostRecord]:
+        """Add five hosts to the other failure domain, and lose some of them."""
+        west = [make_record(f"west-{index}", domain="west") for index in range(5)]
+        for record in west:
+            self.load_balancer.choose([record], 0.0)
+            self.report(record, 0.2)
+        for record in west[:count]:
+            self.load_balancer.mark_unreachable(record.host, now)
+        return west
+
+    def test_hosts_of_a_partitioned_failure_domain_are_avoided(self) -> None:
+        west = self.lose_hosts_of_west(3, 0.1)
+        self.report(self.near, 1.2)
+        candidates = [self.near, *west[3:]]
+        self.assertEqual(self.near, self.load_balancer.choose(candidates, 0.2))
+        self.assertFalse(self.load_balancer.has_room(west, 0.2))
+        self.assertEqual(west[3], self.load_balancer.choose(west[3:4], 0.2))
+        self.report(west[4], 0.2)
+        self.assertIn(self.load_balancer.choose(candidates, 0.2), west[3:])
+
+    def test_partition_delays_few_requests(self) -> None:
+        """A partition of 39 hosts of a service that this domain has no host of."""
+        cut = [make_record(f"cut-{index}", domain="west") for index in range(39)]
+        rest = [make_record(f"rest-{index}", domain="north") for index in range(39)]
+        generator = random.Random(8)
+        load_balancer = LoadBalancer(
+            host=HostId("own"),
+            failure_domain=FailureDomainId("east"),
+            random=generator.random,
+        )
+        for record in (*cut, *rest):
+            load_balancer.choose([record], 0.0)
+            load_balancer.record_report(record.host, load=0.2, mean_s=0.05, now=0.0)
+        delayed = 0
+        for step in range(600):
+            now = step / 100
+            chosen = load_balancer.choose([*cut, *rest], now)
+            assert chosen is not None
+            if chosen in cut:
+                load_balancer.mark_unreachable(chosen.host, now)
+                delayed += 1
+            for host in load_balancer.due_probes(now):
+                load_balancer.mark_unreachable(host, now)
+        self.assertLessEqual(delayed, 5)
+
+    def test_few_lost_hosts_do_not_affect_the_others(self) -> None:
+        west = self.lose_hosts_of_west(2, 0.1)
+        self.report(self.near, 1.2)
+        chosen = self.load_balancer.choose([self.near, *west[2:]], 0.2)
+        self.assertIn(chosen, west[2:])
+
+    def test_one_other_host_of_a_partitioned_failure_domain_is_probed(self) -> None:
+        west = self.lose_hosts_of_west(3, 0.1)
+        others = {self.far.host, *(record.host for record in west[3:])}
+        probed = [self.load_balancer.due_probes(0.1 + n / 10) for n in range(9)]
+        probed_others = [host for hosts in probed for host in hosts if host in others]
+        self.assertIn(len(probed_others), (2, 3))
+
     def test_load_is_spread_over_many_hosts(self) -> None:
         """Forty upstreams, a quarter of them twice as slow, at 70 % of capacity."""
         generator = random.Random(8)
