Check a host at once when it does not respond in time

What callers saw: requests to a partitioned host on kept connections wait until the connection's data is found unacknowledged, 1.5 s; an attempt timeout moved an idempotent request on, but the next ones still went there.

Change: an attempt that times out starts a query of that host (0.3 s, once a second at most), whose failure marks it as unreachable.

--- a/packages/lavenderway-relay/lavenderway_relay/caller_handler.py
+++ b/packages/lavenderway-relay/lavenderway_relay/caller_handler.py
@@ -461,6 +461,7 @@
             state.load_balancer.record_outcome(
                 record.host, failed=True, now=self._loop.time()
             )
+            self._peer_client.check(record)
             upstream_result = UNKNOWN_RESULT
         else:
             upstream_result = self._take_result(context, finished)
--- a/packages/lavenderway-relay/lavenderway_relay/peer_client.py
+++ b/packages/lavenderway-relay/lavenderway_relay/peer_client.py
@@ -39,7 +39,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lavenderway_core.ids import WorkspaceId
+    from lavenderway_core.ids import HostId, WorkspaceId
 
     from lavenderway_relay.hops import HopRequest
     from lavenderway_relay.model import HostRecord
@@ -50,6 +50,7 @@
 
 CONNECT_TIMEOUT_S = 0.3  # many times the round trip between failure domains
 QUERY_TIMEOUT_S = 0.3  # nodes respond to queries from memory
+CHECK_PAUSE_S = 1.0  # between two checks of a host that does not respond in time
 BORROW_TIMEOUT_S = 0.1  # bounds the delay of a rate limit refusal
 # A node adds headers to a response of its upstream that is just within the limits.
 PEER_RESPONSE_LIMITS = ResponseLimits(
@@ -98,6 +99,7 @@
             limits=PEER_RESPONSE_LIMITS,
             budget=state.response_budget,
         )
+        self._checked: set[HostId] = set()
         self._borrow_tasks: dict[WorkspaceId, asyncio.Task[None]] = {}
         self.on_newer_state: Callable[[HostRecord], None] = lambda _: None
 
@@ -282,13 +284,36 @@
                 error=str(error) or type(error).__name__,
             )
 
-    async def _probe(self, record: HostRecord) -> None:
-        """Query an unreachable host, and mark it reachable if it replies."""
+    def check(self, record: HostRecord) -> None:
+        """Probe a host that has not responded in time, unless a probe is pending.
+
+        A connection to a partitioned host shows that only when its data has not been
+        acknowledged for some time.
+        """
+        host = record.host
+        if host == self._state.settings.host or host in self._checked:
+            return
+        self._checked.add(host)
+        self._state.tasks.start(self._check(record), self._loop)
+
+    async def _check(self, record: HostRecord) -> None:
+        try:
+            await self._query_state(record)
+            await asyncio.sleep(CHECK_PAUSE_S)
+        finally:
+            self._checked.discard(record.host)
+
+    async def _query_state(self, record: HostRecord) -> bool:
+        """Query the state of a host; return whether it replied."""
         payload = {
             "config": self._state.config_version,
             "revision": encode_revision(self._state.host_registry.revision),
         }
-        if await self.query(record, STATE_TARGET, payload) is not None:
+        return await self.query(record, STATE_TARGET, payload) is not None
+
+    async def _probe(self, record: HostRecord) -> None:
+        """Query an unreachable host, and mark it reachable if it replies."""
+        if await self._query_state(record):
             self._state.load_balancer.mark_reachable(record.host)
             self._state.log.state("peer.regained", self._loop.time(), peer=record.host)
 
--- a/tests/relay/test_caller_handler.py
+++ b/tests/relay/test_caller_handler.py
@@ -63,6 +63,7 @@
         self.hop_responses: dict[str, HopResponse] = {}
         self.status = 200
         self.sent: list[str] = []
+        self.checked: list[str] = []
         self.hop_requests: list[HopRequest] = []
         self.is_busy: set[str] = set()
         self.unanswered: set[str] = set()
@@ -105,6 +106,9 @@
         if self.first_fails:
             raise RuntimeError("fault of the first attempt")
 
+    def check(self, record: HostRecord) -> None:
+        self.checked.append(record.host)
+
     async def borrow(self, loan_request: LoanRequest) -> None:
         """Lend one token to the borrower, if any; concurrent callers share a loan."""
         if self._loan_task is None or self._loan_task.done():
@@ -355,6 +359,11 @@
         for _ in range(5):
             self.assertEqual(200, (await self.send()).status)
 
+    async def test_unresponsive_host_is_checked(self) -> None:
+        for _ in range(5):
+            await self.send()
+        self.assertEqual({"a"}, set(self.peer_client.checked))
+
     async def test_same_host_is_retried_if_no_other_accepts(self) -> None:
         self.peer_client.unanswered = set()
         self.peer_client.hop_responses = {"b": make_hop_response(Outcome.STOPPING)}
