--- a/tests/dev/test_soak.py
+++ b/tests/dev/test_soak.py
@@ -322,6 +322,10 @@
     The causes left out need a machine without processor time or a fault of the soak.
     """
 
+    async def asyncSetUp(self) -> None:
+        # Debug mode would slow down the clients and stand-ins in this process.
+        asyncio.get_running_loop().set_debug(False)
+
     async def check(self, cause: Cause) -> None:
         self.assertEqual([], await run_soak(seed=FAILED_SEEDS[cause][0]))
 
