Keep the mean level of large services, and the division of hosts by domain

Cause: each decision about a root request computed the mean level over all hosts of each service of its call tree, and each choice of a host divided the candidates by failure domain again.

Change: the mean over ten hosts or more is kept for 50 ms; the division is kept until the registry changes.

--- a/packages/lavenderway-relay/lavenderway_relay/admission.py
+++ b/packages/lavenderway-relay/lavenderway_relay/admission.py
@@ -29,6 +29,10 @@
 # ignored. The age counts from receipt; a level relayed by another service's host may be
 # older.
 LEVEL_MAX_AGE_S = 3.0
+# The mean over this many hosts or more is computed anew only after some time, which is
+# short against the time between two changes of a host's level.
+MANY_HOSTS = 10
+LEVEL_CACHE_S = 0.05
 # Weight of the newest request in the moving average of a route's calls per request, by
 # service.
 CALL_TREE_EWMA_WEIGHT = 0.1
@@ -57,6 +61,14 @@
     reported_at: float
 
 
+class _CachedLevel(NamedTuple):
+    """Mean level of a service of many hosts, with the times that it is valid for."""
+
+    level: float | None
+    computed_at: float
+    expires_at: float
+
+
 class AdmissionDecision(NamedTuple):
     """Decision on whether a root request may start.
 
@@ -84,6 +96,7 @@
     def __init__(self) -> None:
         self._mean_calls: dict[tuple[RouteId, ServiceId], dict[ServiceId, float]] = {}
         self._levels: dict[ServiceId, dict[HostId, _ReportedLevel]] = {}
+        self._cached_levels: dict[ServiceId, _CachedLevel] = {}
 
     def update_call_tree(
         self, route: RouteId, service: ServiceId, calls: dict[ServiceId, float]
@@ -149,6 +162,18 @@
         levels_by_host = self._levels.get(service)
         if not levels_by_host:
             return None
+        if len(levels_by_host) < MANY_HOSTS:
+            return self._mean_level(levels_by_host, now)
+        cached = self._cached_levels.get(service)
+        if cached is None or not cached.computed_at <= now < cached.expires_at:
+            level = self._mean_level(levels_by_host, now)
+            cached = _CachedLevel(level, now, now + LEVEL_CACHE_S)
+            self._cached_levels[service] = cached
+        return cached.level
+
+    def _mean_level(
+        self, levels_by_host: dict[HostId, _ReportedLevel], now: float
+    ) -> float | None:
         min_reported_at = now - LEVEL_MAX_AGE_S
         recent = [
             each
--- a/packages/lavenderway-relay/lavenderway_relay/load_balancer.py
+++ b/packages/lavenderway-relay/lavenderway_relay/load_balancer.py
@@ -52,6 +52,7 @@
 # no more candidates than the sum, or no host of the sample is usable, all are compared.
 LOCAL_SAMPLE_SIZE = 6
 REMOTE_SAMPLE_SIZE = 3
+MAX_SPLITS = 32  # collections of candidates whose division by domain is kept
 # Largest random share added to a score, so that nodes do not all choose the same host
 # at once.
 JITTER_FRACTION = 0.1
@@ -129,6 +130,10 @@
         self._random = random
         self._stats_by_host: dict[HostId, _HostStats] = {}
         self._domains = DomainReachability(own_domain=failure_domain)
+        self._splits: dict[
+            int,
+            tuple[Collection[HostRecord], int, list[HostRecord], list[HostRecord]],
+        ] = {}
 
     def choose(
         self,
@@ -167,15 +172,32 @@
         """Return a sample of the hosts, which bounds the cost of one choice."""
         if len(candidates) <= LOCAL_SAMPLE_SIZE + REMOTE_SAMPLE_SIZE:
             return candidates
+        local, remote = self._split_by_distance(candidates)
+        return [
+            *self._pick_evenly(local, LOCAL_SAMPLE_SIZE),
+            *self._pick_evenly(remote, REMOTE_SAMPLE_SIZE),
+        ]
+
+    def _split_by_distance(
+        self, candidates: Collection[HostRecord]
+    ) -> tuple[list[HostRecord], list[HostRecord]]:
+        """Return the hosts of the own failure domain, and those of all others.
+
+        The last results are kept, as the registry returns the same collection for a
+        service until a host changes.
+        """
+        known = self._splits.get(id(candidates))
+        if known is not None and known[0] is candidates and known[1] == len(candidates):
+            return known[2], known[3]
         local: list[HostRecord] = []
         remote: list[HostRecord] = []
         for record in candidates:
             is_local = record.failure_domain == self._failure_domain
             (local if is_local else remote).append(record)
-        return [
-            *self._pick_evenly(local, LOCAL_SAMPLE_SIZE),
-            *self._pick_evenly(remote, REMOTE_SAMPLE_SIZE),
-        ]
+        if len(self._splits) >= MAX_SPLITS:
+            self._splits.clear()
+        self._splits[id(candidates)] = (candidates, len(candidates), local, remote)
+        return local, remote
 
     def _pick_evenly(self, records: list[HostRecord], count: int) -> list[HostRecord]:
         """Return evenly spaced records, starting at a random one."""
--- a/tests/relay/test_admission_level.py
+++ b/tests/relay/test_admission_level.py
@@ -206,3 +206,18 @@
             RouteId("tree"), self.front, 1.7, 0.0, jitter=0.5
         )
         self.assertGreater(decision.retry_after_s, 0.0)
+
+
+class LevelOfManyHosts(unittest.TestCase):
+    """The level of a service of many hosts follows its hosts with little delay."""
+
+    def test_mean_is_computed_anew_soon(self) -> None:
+        admission = RootAdmission()
+        service = ServiceId("s")
+        for index in range(41):
+            admission.update_level(service, HostId(f"h-{index}"), 1.0, 0.0)
+        self.assertEqual(1.0, admission.service_level(service, 0.0))
+        for index in range(41):
+            admission.update_level(service, HostId(f"h-{index}"), 0.5, 0.01)
+        self.assertEqual(0.5, admission.service_level(service, 0.06))
+        self.assertIsNone(admission.service_level(service, 10.0))
