--- a/tests/relay/test_caller_handler.py
+++ b/tests/relay/test_caller_handler.py
@@ -317,6 +317,7 @@
     async def test_request_goes_to_the_other_host(self) -> None:
         for _ in range(10):
             self.assertEqual(200, (await self.send()).status)
+            self.assertEqual("b", self.peer_client.sent[-1])
 
     async def test_request_waits_if_every_host_is_busy(self) -> None:
         self.peer_client.is_busy = {"a", "b"}
