Close the oldest of the unused connections first

Cause: connections without a request become idle at the same tick, and were then added in the order of a set, by memory address. Beyond the limit of connections, a newer one could be closed before an older one.

Change: connections that become idle at a tick are added oldest first. A test with 60 unused connections fails before.

--- a/packages/lavenderway-relay/lavenderway_relay/server.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server.py
@@ -494,7 +494,8 @@
         """
         head_timeout_s = self.limits().head_timeout_s
         idle_timeout_s = self._update_idle_timeout(now)
-        overdue = []
+        overdue: list[ServerConnection] = []
+        unused: list[ServerConnection] = []
         for connection in self.connections:
             if connection.is_head_late(now, head_timeout_s):
                 overdue.append(connection)
@@ -503,8 +504,12 @@
                     connection.idle_since = now
                 else:
                     overdue.append(connection)
-            elif connection.is_idle(now, FIRST_REQUEST_DELAY_S):
-                self.idle.setdefault(connection)
+            elif connection not in self.idle and connection.is_idle(
+                now, FIRST_REQUEST_DELAY_S
+            ):
+                unused.append(connection)
+        for connection in sorted(unused, key=lambda each: each.idle_since):
+            self.idle[connection] = None
         if overdue:
             self.loop.call_later(READ_DELAY_S, self._close_overdue, overdue, now)
         self.close_surplus()
--- a/tests/relay/test_server.py
+++ b/tests/relay/test_server.py
@@ -352,6 +352,18 @@
         self.assertEqual(b"", await self.read_to_end())
         self.assertFalse(reader.at_eof())
 
+    async def test_oldest_of_many_unused_connections_close_first(self) -> None:
+        """They become idle together, at the first tick after their first delay."""
+        self.server.max_connections = 60
+        readers = await self.open_connections(60)
+        self.server.max_connections = 30
+        await asyncio.sleep(FIRST_REQUEST_DELAY_S)
+        self.server.close_idle(self.loop.time())
+        await asyncio.sleep(0.05)
+        closed = [reader.at_eof() for reader in readers]
+        # The connection of the test case is the oldest one.
+        self.assertEqual([True] * 30 + [False] * 30, closed)
+
     async def test_connection_is_surplus_again_after_its_response_is_read(self) -> None:
         self.server.max_connections = 1
         await self.send(encode_get(b"/big"))
