Give unstored departures a reason of their own

Cause: a departure that the store did not confirm was refused with the reason "stopping", although the node was not shutting down.

Change: the reason is "not-stored". The status (503) is the same. The test fails before. The two tests of announcements share their setup.

--- a/packages/lavenderway-relay/lavenderway_relay/refusals.py
+++ b/packages/lavenderway-relay/lavenderway_relay/refusals.py
@@ -27,6 +27,7 @@
     NO_UPSTREAM = "no-upstream"
     NO_CONFIGURATION = "no-configuration"
     STOPPING = "stopping"
+    NOT_STORED = "not-stored"
     EXPIRED = "expired"
     TIMED_OUT = "timed-out"
     INTERRUPTED = "interrupted"
@@ -74,6 +75,9 @@
     Refusal.STOPPING: _ResponseTemplate(
         HTTPStatus.SERVICE_UNAVAILABLE, True, "The node is shutting down."
     ),
+    Refusal.NOT_STORED: _ResponseTemplate(
+        HTTPStatus.SERVICE_UNAVAILABLE, True, "The store did not confirm the change."
+    ),
     Refusal.EXPIRED: _ResponseTemplate(
         HTTPStatus.SERVICE_UNAVAILABLE, True, "The time is up and it has not run."
     ),
--- a/tests/platform_adapter/test_malformed_messages.py
+++ b/tests/platform_adapter/test_malformed_messages.py
@@ -26,7 +26,7 @@
     decode_hop_request,
     decode_hop_response,
 )
-from lavenderway_relay.messages import Request, encode_request
+from lavenderway_relay.messages import Request, Response, encode_request
 from lavenderway_relay.model import Address, HostRecord
 from lavenderway_relay.pools import ConnectionPool
 from lavenderway_relay.records import (
@@ -255,24 +255,34 @@
         self.assertEqual(("10.0.0.1", 65535), parse_address("10.0.0.1:65535"))
 
 
-class UnexpectedErrors(unittest.IsolatedAsyncioTestCase):
-    """An unexpected error of a listener is logged, and the sender gets a response."""
+class AnnouncementResponses(unittest.IsolatedAsyncioTestCase):
+    """An announcement that is not applied gets a response that says why."""
 
-    async def test_fault_gets_a_response(self) -> None:
-        node = mock.Mock()
-        node.state.settings.listeners.announcements = Address(
-            "127.0.0.1", allocate_port()
-        )
-        node.handle_announcement.side_effect = KeyError("unexpected")
-        _, (server, address) = create_servers(node, asyncio.get_running_loop())
-        await server.listen(address)
+    async def asyncSetUp(self) -> None:
+        self.node = mock.Mock()
+        self.node.handle_announcement = mock.AsyncMock()
+        self.address = Address("127.0.0.1", allocate_port())
+        self.node.state.settings.listeners.announcements = self.address
+        _, (server, _) = create_servers(self.node, asyncio.get_running_loop())
+        await server.listen(self.address)
         self.addCleanup(server.close)
+
+    async def announce(self) -> Response:
         target = b"/v1/Instances.Heartbeat/i-1"
         headers = [(b"host", b"a")]
         request = Request(b"POST", target, headers, orjson.dumps(HEARTBEAT))
         pool = ConnectionPool(loop=asyncio.get_running_loop(), connect_timeout_s=1.0)
         self.addCleanup(pool.close)
         async with asyncio.timeout(2.0):
-            response = await pool.exchange(address, encode_request(request))
-        self.assertGreaterEqual(response.status, 500)
-        node.log_fault.assert_called_once()
+            return await pool.exchange(self.address, encode_request(request))
+
+    async def test_unexpected_error_is_logged(self) -> None:
+        self.node.handle_announcement.side_effect = KeyError("unexpected")
+        self.assertGreaterEqual((await self.announce()).status, 500)
+        self.node.log_fault.assert_called_once()
+
+    async def test_departure_that_is_not_stored(self) -> None:
+        self.node.handle_announcement.return_value = False
+        response = await self.announce()
+        self.assertEqual(503, response.status)
+        self.assertEqual("not-stored", orjson.loads(response.body)["title"])
