--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -36,7 +36,7 @@
 serves = ["sidecar"]
 ip = "127.0.0.1"
 zone = "{zone}"
-region = "prairie"
+region = "{region}"
 port-range = [0,0]
 seed-nodes = []
 bootstrap = true
@@ -64,7 +64,7 @@
 config-apply = "2000ms"
 retry-budget-ratio = 0.2
 retry-window = "10s"
-budget-slack = 50
+budget-slack = {slack}
 quota-window = "5s"
 quota-overage = 0.1
 quota-tolerance = 20
@@ -72,6 +72,8 @@
 address = "127.0.0.1:{store}"
 form = "table"
 """
+# The zones of the site `coulee-spec`; all others are of `acgc-pedidos`.
+COULEE_ZONES = {"saskatoon", "regina", "brandon"}
 _PORTS: set[int] = set()
 
 
@@ -117,7 +119,14 @@
         self._folder = folder
         self._settings = folder / f"{name}.toml"
         self._settings.write_text(
-            SETTINGS.format(name=name, zone=zone, service=service, **self.ports)
+            SETTINGS.format(
+                name=name,
+                zone=zone,
+                service=service,
+                region="prairie" if zone in COULEE_ZONES else "cantabria",
+                slack=50 if zone in COULEE_ZONES else 48,
+                **self.ports,
+            )
         )
         self.server = Server(
             name=f"i-{name}",
@@ -292,7 +301,7 @@
     timeout_ms: int = 5000,
     public: bool = False,
 ) -> dict[str, Any]:
-    """Return a route with the figures of the site `coulee-spec`, unless given."""
+    """Return a route; the figures are those of both sites in force, or near them."""
     return {
         "prefix": prefix,
         "kind": kind,
--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -16,6 +16,7 @@
 
 HEARTBEAT_S = 1.5
 ATTEMPT = "lavenderway-attempt-id"
+DEADLINE = "lavenderway-deadline-ms"
 
 
 class Server:
@@ -30,8 +31,8 @@
         shed_every: Rejects each request of this number, as a grey server; 0 for none.
         copy_every: Of so many answers at most one is spoiled; 0 for none. On a
             connection that has carried a rejection, a second copy of it then arrives
-            where the next answer is due, without a length, and ends with the
-            connection.
+            where the next answer is due, in front of that answer, without a length, and
+            ends with the connection.
         state: State that the heartbeats name.
         on_event: Called with what happened, and with the request.
         on_call: Called with the id of a call, and with its status; 0 as it is sent.
@@ -147,7 +148,9 @@
                 self._answers += 1
                 if rejection and self._may_copy():
                     self.on_event("second answer to another request", self, request)
-                    writer.write(rejection.replace(b"Content-Length: 0\r\n", b""))
+                    copy = rejection.replace(b"Content-Length: 0\r\n", b"")
+                    writer.write(copy + response)
+                    await writer.drain()
                     break
                 writer.write(response)
                 await writer.drain()
@@ -201,21 +204,30 @@
         if not calls:
             await asyncio.sleep(int(work_ms) / 1000)
             return 200
+        ends_at = time.monotonic() + int(request.header(DEADLINE) or 0) / 1000
         for number in range(int(calls)):
             attempt = f"{request.header(ATTEMPT)}.{number + 1:x}"
-            if await self._call(attempt, f"/stock/{work_ms}") != 200:
+            if await self._call(attempt, f"/stock/{work_ms}", ends_at) != 200:
                 return 500
         return 200
 
-    async def _call(self, attempt: str, path: str) -> int | None:
-        """Make a call through the own node; return the status, None without one."""
+    async def _call(self, attempt: str, path: str, ends_at: float) -> int | None:
+        """Make a call through the own node; return the status, None without one.
+
+        It expires at the deadline of the request that makes it.
+        """
         self.on_call(attempt, 0)
         response: Message | None = None
         with contextlib.suppress(OSError):
             reader, writer = await asyncio.open_connection(
                 "127.0.0.1", self.outbound_port
             )
-            headers = [("Host", "app.example"), ("Lavenderway-Attempt-Id", attempt)]
+            left_ms = int(1000 * (ends_at - time.monotonic()))
+            headers = [
+                ("Host", "app.example"),
+                ("Lavenderway-Attempt-Id", attempt),
+                ("Lavenderway-Deadline-Ms", str(max(1, left_ms))),
+            ]
             writer.write(encode_request("GET", path, headers))
             response = await read_message(reader)
             writer.close()
