--- a/review/2/play.py
+++ b/review/2/play.py
@@ -29,8 +29,8 @@
         "stock": route("reparto", "/stock/", timeout_ms=DEADLINE_MS, public=True),
     }
     await fleet.configure(1, routes, {"lab": ["key-1"]})
-    first = await fleet.add("sidecar-1", "saskatoon", "reparto")
-    second = await fleet.add("sidecar-2", "regina", "pedidos")
+    first = await fleet.add("sidecar-1", "santander", "reparto")
+    second = await fleet.add("sidecar-2", "torrelavega", "pedidos")
     running: set[str] = set()
     sent_at: dict[str, float] = {}
     broken_off: list[str] = []
