--- a/review/4/play.py
+++ b/review/4/play.py
@@ -25,9 +25,9 @@
     """Play the case; return whether the rule held."""
     record = fleet.record
     routes = {
-        "archive-read": route("archive", "/archive/"),
-        "cert-issue": route("certify", "/certify/", "unsafe"),
-        "product-read": route("catalogue", "/catalogue/"),
+        "catalogue-read": route("catalogo", "/catalogue/"),
+        "place-order": route("pedidos", "/order/", "unsafe"),
+        "invoice-read": route("facturas", "/invoice/"),
     }
     await fleet.configure(1, routes, {"lab": ["key-1"], "crew": ["key-2"]})
 
@@ -36,9 +36,9 @@
         record(f"store: {machine} calls {target}, silent: {silent}")
 
     fleet.store.on_call = on_call
-    first = await fleet.add("sidecar-1", "saskatoon", "archive")
-    await fleet.add("sidecar-2", "regina", "certify")
-    await fleet.add("sidecar-3", "brandon", "catalogue")
+    first = await fleet.add("sidecar-1", "santander", "catalogo")
+    await fleet.add("sidecar-2", "torrelavega", "pedidos")
+    await fleet.add("sidecar-3", "laredo", "facturas")
     ran: set[str] = set()
 
     def on_event(event: str, server: Server, request: Message) -> None:
@@ -52,7 +52,7 @@
 
     async def read(key: str) -> tuple[str, int | None]:
         attempt = fleet.next_id()
-        data = encode_request("GET", "/archive/10", fleet.headers(key, attempt))
+        data = encode_request("GET", "/catalogue/10", fleet.headers(key, attempt))
         response = await client.send(data)
         status = None if response is None else response.status
         record(f"client: {attempt} with {key}: {status}, run: {attempt in ran}")
