Confirm the views of a node once a second

Cause: the response to a pending long poll was lost while the connection stayed up. The feed waited 25 s for it and counted as healthy, so that the node pulled nothing from its peers.

Change: each view has an age. One reader in each failure domain polls the store for 1 s at a time; the other nodes ask it, or the store if its view is old. One poll confirms both tables, as they share a version counter. Calls to the store: 3 to 5 a second more for the fleet, whatever its size.

--- a/packages/lavenderway-relay/lavenderway_relay/feeds.py
+++ b/packages/lavenderway-relay/lavenderway_relay/feeds.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from lavenderway_relay.confirmation import CONFIRM_INTERVAL_S, CONFIRM_TIMEOUT_S
 from lavenderway_relay.store import (
     HistoryLostError,
     OutcomeUnknownError,
@@ -17,9 +18,10 @@
     from lavenderway_relay.revision import Revision
     from lavenderway_relay.state import NodeState
     from lavenderway_relay.store import Snapshot, Store
+    from lavenderway_relay.view_age import View
 
 FEED_LONG_POLL_S = 25.0  # the store allows at most 30 s
-VERIFYING_POLL_S = 0.001  # answered at once, if only to learn the era
+VERIFYING_POLL_S = 0.001  # answered at once, if only to learn the era or the version
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0  # bounds how late a recovered store is noticed
 # Longest time for which a feed leaves it to another one to look for the recovery of the
@@ -67,6 +69,7 @@
 
     Args:
         table: Name of the table.
+        view: The view that the table's rows make up.
         handle_snapshot: Called with each snapshot.
         coalesce_delay_s: Returns the pause after changes, so that one call reads those
             made meanwhile, in seconds.
@@ -80,6 +83,10 @@
 
     Attributes:
         healthy: Whether the last call succeeded; None before the first.
+        reading_for_peers: Whether to poll for `CONFIRM_INTERVAL_S` instead of
+            `FEED_LONG_POLL_S`, so that each response confirms the view for the peers
+            that ask this node.
+        position: Revision up to which the table has been read; None before.
 
     """
 
@@ -87,6 +94,7 @@
         self,
         *,
         table: str,
+        view: View,
         handle_snapshot: Callable[[Snapshot], None],
         coalesce_delay_s: Callable[[], float],
         state: NodeState,
@@ -97,6 +105,7 @@
         leader: TableFeed | None = None,
     ) -> None:
         self._table = table
+        self._view = view
         self._handle_snapshot = handle_snapshot
         self._coalesce_delay_s = coalesce_delay_s
         self._state = state
@@ -106,14 +115,24 @@
         self._random = random
         self._leader = leader
         self._recovered = asyncio.Event()
-        self._position: Revision | None = None
+        self.position: Revision | None = None
+        self.reading_for_peers = False
         self._verifying = False
         self._verification_requested = asyncio.Event()
         self._poll_timeout: asyncio.Timeout | None = None
         self.healthy: bool | None = None
 
-    def verify_era(self) -> None:
-        """End a pending long poll or pause, and learn the era by a short poll."""
+    def confirm(self) -> None:
+        """Confirm the view by a short poll, unless calls are being retried anyway."""
+        if self.healthy is not False:
+            self.verify()
+
+    def verify(self) -> None:
+        """End a pending long poll or pause, and learn the newest state at once.
+
+        The response to the pending poll may have been lost, or the store may have
+        returned from an older copy.
+        """
         self._verifying = True
         self._verification_requested.set()
         if self._poll_timeout is not None and not self._poll_timeout.expired():
@@ -124,10 +143,12 @@
         backoff_s = MIN_BACKOFF_S
         while True:
             try:
+                called_at = self._loop.time()
                 snapshot = await self._read()
                 if snapshot is None:
                     continue
                 self._handle(snapshot)
+                self._state.view_ages.confirm(self._view, called_at)
                 backoff_s = MIN_BACKOFF_S
                 self._update_health(None)
                 if snapshot.rows:
@@ -136,13 +157,13 @@
                 self._state.log.state(
                     "feed.reread", self._loop.time(), table=self._table
                 )
-                self._position = None
+                self.position = None
             except Exception as error:  # the loop must survive any store response
                 if not isinstance(error, STORE_FAILURES):
                     self._state.log.state(
                         "sync.fault", self._loop.time(), error=repr(error)
                     )
-                    self._position = None
+                    self.position = None
                 # The store may return from an older copy. A long poll from a version
                 # that it then gives out again would miss the changes up to there.
                 self._verifying = True
@@ -166,7 +187,7 @@
         await self._recovered.wait()
 
     async def _pause(self) -> None:
-        """Let further changes accumulate, unless the era is to be verified."""
+        """Let further changes accumulate, unless the view is to be verified."""
         self._verification_requested.clear()
         if self._verifying:
             return
@@ -179,27 +200,49 @@
     async def _read(self) -> Snapshot | None:
         """Return the whole table or its next changes; None to call again at once."""
         verifying, self._verifying = self._verifying, False
-        position = self._position
+        position = self.position
         if position is not None and position.era != self._era.current:
             position = None
         if position is None:
             snapshot = await self._store.read_table(self._table)
         else:
-            wait_s = VERIFYING_POLL_S if verifying else FEED_LONG_POLL_S
-            try:
-                async with asyncio.timeout(None) as self._poll_timeout:
-                    snapshot = await self._store.follow(
-                        self._table, position.version, wait_s
-                    )
-            except TimeoutError:
+            polled = await self._poll(position.version, verifying=verifying)
+            if polled is None:
                 return None
-            finally:
-                self._poll_timeout = None
+            snapshot = polled
         self._era.observe(snapshot.revision.era)
         if position is not None and snapshot.revision.era != position.era:
             return None  # the version belongs to another history of the table
         return snapshot
 
+    async def _poll(self, after: int, *, verifying: bool) -> Snapshot | None:
+        """Return the changes after a version; None if the poll was ended early.
+
+        Raises:
+            OutcomeUnknownError: A short poll got no response in time.
+
+        """
+        short = verifying or self.reading_for_peers
+        wait_s = (
+            VERIFYING_POLL_S
+            if verifying
+            else CONFIRM_INTERVAL_S
+            if short
+            else FEED_LONG_POLL_S
+        )
+        expires_at = self._loop.time() + wait_s + CONFIRM_TIMEOUT_S if short else None
+        try:
+            async with asyncio.timeout_at(expires_at) as self._poll_timeout:
+                return await self._store.follow(self._table, after, wait_s)
+        except TimeoutError:
+            if expires_at is not None and self._loop.time() >= expires_at:
+                raise OutcomeUnknownError(
+                    f"no response to a poll of {wait_s:g} s in {CONFIRM_TIMEOUT_S:g} s"
+                ) from None
+            return None
+        finally:
+            self._poll_timeout = None
+
     def _handle(self, snapshot: Snapshot) -> None:
         for error_text in snapshot.errors:
             self._state.log.state(
@@ -209,7 +252,7 @@
                 error=error_text,
             )
         self._handle_snapshot(snapshot)
-        self._position = snapshot.revision
+        self.position = snapshot.revision
 
     def _update_health(self, error: Exception | None) -> None:
         healthy = error is None
--- a/packages/lavenderway-relay/lavenderway_relay/node.py
+++ b/packages/lavenderway-relay/lavenderway_relay/node.py
@@ -8,6 +8,7 @@
 import signal
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 
 from lavenderway_relay.admission_level import LEVEL_UPDATE_INTERVAL_S
@@ -26,6 +27,7 @@
 from lavenderway_relay.store import Store
 from lavenderway_relay.sync import StateSync
 from lavenderway_relay.upstream_runner import UpstreamRunner
+from lavenderway_relay.view_age import View
 
 if TYPE_CHECKING:
     from lavenderway_core.ids import UpstreamId
@@ -457,5 +459,10 @@
         metrics.gauge(
             "roster_revision", lambda: float(self.state.host_registry.revision.version)
         )
+        for view in View:
+            metrics.gauge(f"{view.value}_age_seconds", partial(self._age_s, view))
         metrics.gauge("lag_seconds", lambda: self.state.lag_s)
         metrics.gauge("ready", lambda: float(self.ready))
+
+    def _age_s(self, view: View) -> float:
+        return self.state.view_ages.age_s(view, self._loop.time())
--- a/packages/lavenderway-relay/lavenderway_relay/peer_handler.py
+++ b/packages/lavenderway-relay/lavenderway_relay/peer_handler.py
@@ -24,6 +24,7 @@
 from lavenderway_relay.records import encode_records
 from lavenderway_relay.refusals import Refusal, refuse
 from lavenderway_relay.revision import decode_revision, encode_revision
+from lavenderway_relay.view_age import encode_ages
 
 if TYPE_CHECKING:
     import asyncio
@@ -117,7 +118,8 @@
     def _read_state(self, payload: dict[str, Any]) -> dict[str, Any]:
         state = self._state
         reply: dict[str, Any] = {
-            "revision": encode_revision(state.host_registry.revision)
+            "revision": encode_revision(state.host_registry.revision),
+            "ages": encode_ages(state.view_ages, self._loop.time()),
         }
         known_revision = decode_revision(payload["revision"])
         reply["hosts"] = encode_records(
--- a/packages/lavenderway-relay/lavenderway_relay/state.py
+++ b/packages/lavenderway-relay/lavenderway_relay/state.py
@@ -19,6 +19,7 @@
 from lavenderway_relay.running_requests import RunningRequests
 from lavenderway_relay.tasks import BackgroundTasks
 from lavenderway_relay.token_owners import TokenOwnerMap
+from lavenderway_relay.view_age import ViewAges
 
 if TYPE_CHECKING:
     from lavenderway_core.ids import HostId
@@ -49,6 +50,7 @@
         admission: Admission control for root requests, which enter the call graph here.
         running_requests: Requests that the local upstream is running, by request ID.
         host_registry: Records of all hosts of the fleet.
+        view_ages: Ages of the configuration and of the host registry.
         service_round_robin: Counters that distribute the requests of each route over
             its services by weight.
         token_owners: The hosts that hold the token buckets of each workspace.
@@ -78,6 +80,7 @@
     admission: RootAdmission = field(default_factory=RootAdmission)
     running_requests: RunningRequests = field(default_factory=RunningRequests)
     host_registry: HostRegistry = field(default_factory=HostRegistry)
+    view_ages: ViewAges = field(default_factory=ViewAges)
     service_round_robin: WeightedRoundRobin = field(default_factory=WeightedRoundRobin)
     token_owners: TokenOwnerMap = field(default_factory=TokenOwnerMap)
     route_table: RouteTable | None = None
--- a/packages/lavenderway-relay/lavenderway_relay/sync.py
+++ b/packages/lavenderway-relay/lavenderway_relay/sync.py
@@ -14,6 +14,11 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from lavenderway_relay.confirmation import (
+    CONFIRM_INTERVAL_S,
+    MAX_PEER_AGE_S,
+    select_confirmers,
+)
 from lavenderway_relay.feeds import (
     MAX_BACKOFF_S,
     MIN_BACKOFF_S,
@@ -36,6 +41,7 @@
     encode_revision,
 )
 from lavenderway_relay.store import ABSENT, ConflictError, OutcomeUnknownError
+from lavenderway_relay.view_age import View, decode_ages
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -121,18 +127,20 @@
         self._random = random
         self._decode_configuration = decode_configuration
         self._config_key = config_key
-        config_feed = self._make_feed(
+        self._config_feed = self._make_feed(
             config_table,
+            View.CONFIGURATION,
             self._handle_configuration_rows,
             lambda: CONFIG_COALESCE_DELAY_S,
         )
-        hosts_feed = self._make_feed(
+        self._hosts_feed = self._make_feed(
             HOSTS_TABLE,
+            View.HOSTS,
             self._handle_host_rows,
             lambda: hosts_coalesce_delay_s(state.token_owners.host_count),
-            leader=config_feed,
+            leader=self._config_feed,
         )
-        self._feeds = [config_feed, hosts_feed]
+        self._feeds = [self._config_feed, self._hosts_feed]
         self._own_row = NO_REVISION  # era and version of the stored row
         self._restore_task: asyncio.Task[None] | None = None
         self._own_record_restored = asyncio.Event()
@@ -145,12 +153,14 @@
     def _make_feed(
         self,
         table: str,
+        view: View,
         handle_snapshot: Callable[[Snapshot], None],
         coalesce_delay_s: Callable[[], float],
         leader: TableFeed | None = None,
     ) -> TableFeed:
         return TableFeed(
             table=table,
+            view=view,
             handle_snapshot=handle_snapshot,
             coalesce_delay_s=coalesce_delay_s,
             state=self._state,
@@ -167,6 +177,7 @@
             *(feed.run() for feed in self._feeds),
             self._write_own_record(),
             self._pull_while_store_unavailable(),
+            self._confirm_views(),
         ):
             self._tasks.append(self._state.tasks.start(coroutine, self._loop))
 
@@ -224,7 +235,7 @@
 
     def _verify_era(self) -> None:
         for feed in self._feeds:
-            feed.verify_era()
+            feed.verify()
 
     def _log_unexpected_error(self, error: Exception) -> None:
         self._state.log.state("sync.fault", self._loop.time(), error=repr(error))
@@ -481,12 +492,60 @@
             if peers:
                 await self._pull(peers[int(self._random() * len(peers))])
 
+    async def _confirm_views(self) -> None:
+        """Confirm the views at regular intervals, so that lost changes are noticed."""
+        while True:
+            await asyncio.sleep(CONFIRM_INTERVAL_S * (0.9 + self._random() / 5))
+            try:
+                await self._confirm_once()
+            except Exception as error:  # later confirmations must still be made
+                self._log_unexpected_error(error)
+
+    async def _confirm_once(self) -> None:
+        """Confirm the views by a peer, or by the store if none has a young one."""
+        state = self._state
+        confirmers = select_confirmers(
+            state.host_registry.peers(state.settings.host),
+            own=state.settings,
+            is_reachable=state.load_balancer.is_reachable,
+            draw=self._random(),
+        )
+        is_reader = not confirmers
+        if is_reader and not self._config_feed.reading_for_peers:
+            self._config_feed.confirm()
+        self._config_feed.reading_for_peers = is_reader
+        if is_reader:
+            self._confirm_hosts_by_version()
+            return
+        for record in confirmers:
+            await self._pull(record)
+            if state.view_ages.oldest_s(self._loop.time()) <= MAX_PEER_AGE_S:
+                return
+        for feed in self._feeds:
+            feed.confirm()
+
+    def _confirm_hosts_by_version(self) -> None:
+        """Confirm the host registry by the version that the other feed has read.
+
+        All tables share one version counter. A call is needed only if it has advanced
+        past the version up to which the hosts have been read.
+        """
+        newest, known = self._config_feed.position, self._hosts_feed.position
+        if newest is None or known is None or self._config_feed.healthy is False:
+            return
+        if known >= newest:
+            confirmed_at = self._state.view_ages.confirmed_at(View.CONFIGURATION)
+            self._state.view_ages.confirm(View.HOSTS, confirmed_at)
+        else:
+            self._hosts_feed.confirm()
+
     async def _pull(self, record: HostRecord) -> None:
         state = self._state
         payload = {
             "config": state.config_version,
             "revision": encode_revision(state.host_registry.revision),
         }
+        asked_at = self._loop.time()
         reply = await self._peer_client.query(record, STATE_TARGET, payload)
         if reply is None:
             return
@@ -497,6 +556,8 @@
             document = reply.get("document")
             if isinstance(document, str):
                 self._apply_document(document.encode(), record.host)
+            for view, age_s in decode_ages(reply.get("ages")).items():
+                state.view_ages.confirm(view, asked_at - age_s)
         except (RecordFormatError, TypeError, ValueError) as error:
             self._log_malformed_reply(error)
             return
--- a/tests/relay/support.py
+++ b/tests/relay/support.py
@@ -75,6 +75,7 @@
         self.writes = 0
         self._rows: dict[tuple[str, str], StoredRow] = {}
         self._changed = asyncio.Event()
+        self._silent = False
 
     def put(self, table: str, key: str, value: bytes, *, wake: bool = True) -> None:
         self.revision = self.revision._replace(version=self.revision.version + 1)
@@ -87,6 +88,15 @@
         self._error = error
         self._wake()
 
+    def silence(self) -> None:
+        """Never respond to pending and later calls, until `respond`."""
+        self._silent = True
+        self._wake()
+
+    def respond(self) -> None:
+        """Respond to later calls again; the responses to earlier ones stay lost."""
+        self._silent = False
+
     def find(self, table: str, key: str) -> StoredRow | None:
         return self._rows.get((table, key))
 
@@ -142,6 +152,8 @@
     async def _check_call(self) -> None:
         self.calls += 1
         await asyncio.sleep(0)
+        if self._silent:
+            await asyncio.Event().wait()
         if self._error is not None:
             raise self._error
 
--- a/tests/relay/test_feeds.py
+++ b/tests/relay/test_feeds.py
@@ -8,6 +8,7 @@
 from lavenderway_relay.revision import Revision
 from lavenderway_relay.store import OutcomeUnknownError, Snapshot, StoreUnavailableError
 from lavenderway_relay.sync import hosts_coalesce_delay_s
+from lavenderway_relay.view_age import View
 
 from tests.relay.support import ScriptedStore, make_state
 
@@ -28,6 +29,7 @@
         self.values: dict[str, bytes | None] = {}
         self.feed = TableFeed(
             table=TABLE,
+            view=View.CONFIGURATION,
             handle_snapshot=self.handle_snapshot,
             coalesce_delay_s=lambda: self.coalesce_delay_s,
             state=make_state(log=self.log),
@@ -46,7 +48,7 @@
 
     def handle_restored_store(self, before: int, era: int) -> None:
         self.restored.append((before, era))
-        self.feed.verify_era()
+        self.feed.verify()
 
     async def wait_for_value(self, key: str, value: bytes) -> None:
         async with asyncio.timeout(1.0):
@@ -135,6 +137,7 @@
     async def test_outage_costs_the_calls_of_one_feed(self) -> None:
         follower = TableFeed(
             table="other",
+            view=View.HOSTS,
             handle_snapshot=self.handle_snapshot,
             coalesce_delay_s=lambda: 0.0,
             state=make_state(log=self.log),
--- a/tests/relay/test_sync.py
+++ b/tests/relay/test_sync.py
@@ -19,6 +19,7 @@
     StateSync,
 )
 from lavenderway_relay.upstream_runner import UpstreamRunner
+from lavenderway_relay.view_age import View
 
 from tests.relay.support import ANY_ADDRESS, OWN_HOST, ScriptedStore, make_state
 from tests.relay.test_host_registry import make_record
@@ -74,6 +75,8 @@
 class StateSyncCase(unittest.IsolatedAsyncioTestCase):
     """A node without listeners, a scripted store and a scripted peer."""
 
+    decode_configuration = staticmethod(reject_document)
+
     async def asyncSetUp(self) -> None:
         log = os.open(os.devnull, os.O_WRONLY)
         self.addCleanup(os.close, log)
@@ -88,7 +91,7 @@
             upstream_runner=UpstreamRunner(state=self.state, loop=loop),
             loop=loop,
             random=lambda: 0.0,
-            decode_configuration=reject_document,
+            decode_configuration=self.decode_configuration,
             config_table="op",
             config_key="config",
         )
@@ -253,3 +256,60 @@
         await self.start()
         self.assertTrue(self.state.accepts_requests)
         self.assertEqual([], self.peer_client.queries)
+
+
+CONFIG_KEY = "config"
+
+
+def decode_version(document: bytes) -> Configuration:
+    """Return an empty configuration whose document is its version."""
+    return Configuration(
+        version=int(document), routes=(), workspaces={}, workspace_of_key={}
+    )
+
+
+class LostLongPolls(StateSyncCase):
+    """A change whose notification the store has lost is noticed soon."""
+
+    decode_configuration = staticmethod(decode_version)
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.store.put("op", CONFIG_KEY, b"1")
+        await self.start()
+        await self.wait_until(lambda: self.state.config_version == 1)
+        await asyncio.sleep(0.05)  # the next polls are pending
+
+    async def test_configuration_is_seen_soon_after_a_silence(self) -> None:
+        """No peer shows this node the newer version."""
+        self.store.silence()
+        await asyncio.sleep(0.5)
+        self.store.put("op", CONFIG_KEY, b"2")
+        self.store.respond()
+        async with asyncio.timeout(3.0):
+            while self.state.config_version < 2:
+                await asyncio.sleep(0.01)
+
+    async def test_hosts_are_seen_soon_after_a_silence(self) -> None:
+        self.store.silence()
+        await asyncio.sleep(0.5)
+        self.put_record(PEER)
+        self.store.respond()
+        async with asyncio.timeout(5.0):
+            while self.state.host_registry.find(PEER.host) is None:
+                await asyncio.sleep(0.01)
+
+    async def test_silent_polls_do_not_count_as_confirmations(self) -> None:
+        self.store.silence()
+        silent_since = asyncio.get_running_loop().time()
+        await asyncio.sleep(2.5)
+        for view in View:
+            self.assertLessEqual(self.state.view_ages.confirmed_at(view), silent_since)
+
+    async def test_one_poll_a_second_confirms_both_views(self) -> None:
+        await asyncio.sleep(2.0)
+        calls = self.store.calls
+        await asyncio.sleep(3.0)
+        self.assertLessEqual(self.store.calls - calls, 4)
+        now = asyncio.get_running_loop().time()
+        self.assertLessEqual(self.state.view_ages.oldest_s(now), 2.5)
