Let a host own tokens only once the others know it

Cause: each node derives the owners from its own host records, and records differ. The new host took the tokens over at once, the old owner had not heard of it.

Change: a joining host issues nothing before the hosts that may own tokens without it have acknowledged its record. An owner whose view of the hosts has not been confirmed for 12 s issues half, and after that time a joining host issues half for each host that does not acknowledge. Nodes of the load simulation have joined.

--- a/packages/lavenderway-dev/lavenderway_dev/load_simulation.py
+++ b/packages/lavenderway-dev/lavenderway_dev/load_simulation.py
@@ -24,6 +24,7 @@
 from lavenderway_platform.header_names import PLATFORM_HEADER_NAMES
 from lavenderway_relay.admission_level import LEVEL_UPDATE_INTERVAL_S
 from lavenderway_relay.messages import Request, Response
+from lavenderway_relay.view_age import View
 
 from lavenderway_dev.day_results import DayResult, Result
 from lavenderway_dev.disturbances import find_start
@@ -189,6 +190,8 @@
         now = self._loop.time()
         for node in self.nodes.values():
             node.state.host_registry.merge(records)
+            node.state.view_ages.confirm(View.HOSTS, math.inf)
+            node.state.token_role.restore()
             node.state.apply_configuration(configuration, b"", now)
             node.state.update_token_owners(now)
             node.state.local_upstream.announce(upstreams[node.host], now)
--- a/packages/lavenderway-relay/lavenderway_relay/model.py
+++ b/packages/lavenderway-relay/lavenderway_relay/model.py
@@ -176,6 +176,7 @@
         serving: False once the host's node has been told to stop.
         upstream: The upstream on the host; None if none has been announced.
         started_ms: Wall-clock start of the node process, in milliseconds.
+        joined: Whether the hosts that may own tokens without this one know it.
         revision: Version of the stored row, and the store's era when the record was
             built. A row of an older copy thus has an older revision than the rows
             that the store lost, which are still known to other nodes.
@@ -188,6 +189,7 @@
     serving: bool
     upstream: Upstream | None
     started_ms: int = 0
+    joined: bool = False
     revision: Revision = NO_REVISION
 
     @property
--- a/packages/lavenderway-relay/lavenderway_relay/node.py
+++ b/packages/lavenderway-relay/lavenderway_relay/node.py
@@ -152,6 +152,7 @@
             config_key=dependencies.config_key,
         )
         self._upstream_runner.on_leaving = self._sync.publish
+        peer_handler.on_record = self._sync.learn_member
         self._caller_server = HttpServer(
             loop=loop,
             serve=self._caller_handler.serve,
@@ -302,6 +303,7 @@
             self._upstream_runner.apply_announcement()
         self._upstream_runner.tick(now)
         self._peer_client.tick(now)
+        self.state.renew_lease(now)
         for loan_request in self.state.quota.tick(now):
             self.state.tasks.start(self._peer_client.borrow(loan_request), self._loop)
 
--- a/packages/lavenderway-relay/lavenderway_relay/peer_client.py
+++ b/packages/lavenderway-relay/lavenderway_relay/peer_client.py
@@ -60,6 +60,7 @@
 TOKENS_TARGET = b"/lavenderway/tokens"
 STATE_TARGET = b"/lavenderway/state"
 RECORD_TARGET = b"/lavenderway/record"
+MEMBER_TARGET = b"/lavenderway/member"
 
 _NO_HOP_RESPONSE = HopResponse(
     Outcome.ABSENT, False, 0.0, 0.0, False, {}, {}, 0, NO_REVISION, False
--- a/packages/lavenderway-relay/lavenderway_relay/peer_handler.py
+++ b/packages/lavenderway-relay/lavenderway_relay/peer_handler.py
@@ -17,19 +17,27 @@
 )
 from lavenderway_relay.messages import Response, strip_headers
 from lavenderway_relay.peer_client import (
+    MEMBER_TARGET,
     RECORD_TARGET,
     STATE_TARGET,
     TOKENS_TARGET,
 )
-from lavenderway_relay.records import encode_records
+from lavenderway_relay.records import (
+    RecordFormatError,
+    decode_records,
+    encode_records,
+)
 from lavenderway_relay.refusals import Refusal, refuse
 from lavenderway_relay.revision import decode_revision, encode_revision
+from lavenderway_relay.token_role import Acknowledgement
 from lavenderway_relay.view_age import encode_ages
 
 if TYPE_CHECKING:
     import asyncio
+    from collections.abc import Callable
 
     from lavenderway_relay.messages import Request
+    from lavenderway_relay.model import HostRecord
     from lavenderway_relay.peer_client import PeerClient
     from lavenderway_relay.state import NodeState
     from lavenderway_relay.upstream_runner import UpstreamRunner
@@ -46,6 +54,9 @@
         peer_client: Client for the other nodes.
         loop: The event loop.
 
+    Attributes:
+        on_record: Called with the record of a host that joins the fleet.
+
     """
 
     def __init__(
@@ -60,6 +71,7 @@
         self._upstream_runner = upstream_runner
         self._peer_client = peer_client
         self._loop = loop
+        self.on_record: Callable[[HostRecord], None] = lambda _: None
 
     async def serve(self, request: Request) -> Response:
         """Return the response to one request of another node."""
@@ -104,7 +116,15 @@
                 return _json_response(self._read_state(payload))
             if request.target == RECORD_TARGET:
                 return _json_response(self._find_record(payload))
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            if request.target == MEMBER_TARGET:
+                return _json_response(self._acknowledge_member(payload))
+        except (
+            RecordFormatError,
+            ValueError,
+            KeyError,
+            TypeError,
+            AttributeError,
+        ) as error:
             self._log_malformed(error)
             return refuse(Refusal.MALFORMED)
         return refuse(Refusal.NO_ROUTE)
@@ -133,6 +153,26 @@
         record = self._state.host_registry.find(HostId(payload["host"]))
         return {"hosts": encode_records([record] if record is not None else [])}
 
+    def _acknowledge_member(self, payload: dict[str, Any]) -> dict[str, Any]:
+        """Learn of a joining host, and tell whether it is known as a member now.
+
+        The joining host asks only hosts that it knows as members itself.
+        """
+        (record,) = decode_records([payload["record"]])
+        established = payload.get("established") is True
+        self.on_record(record)
+        state = self._state
+        state.token_role.record_acknowledgement(
+            Acknowledgement(record.host, record.failure_domain, established)
+        )
+        known = state.host_registry.find(record.host)
+        return {
+            "known": known is not None
+            and not known.retired
+            and known.started_ms == record.started_ms,
+            "established": state.token_role.established,
+        }
+
     def _log_malformed(self, error: Exception) -> None:
         self._state.log.failure("peer.malformed", self._loop.time(), error=str(error))
 
--- a/packages/lavenderway-relay/lavenderway_relay/quota.py
+++ b/packages/lavenderway-relay/lavenderway_relay/quota.py
@@ -9,8 +9,9 @@
 advance. If demand is high, they borrow before a request has to wait.
 
 A token owner subtracts tokens before it sends them, and the borrower adds each grant at
-most once, so a lost message loses tokens but never duplicates them. While all hosts
-agree on the token owners, these together issue at most
+most once, so a lost message loses tokens but never duplicates them. `TokenRole` decides
+which share of its part a token owner may issue, so that the parts add up to one at most
+under any two views of the fleet. All together thus issue at most
 `rate * t + burst + extra_burst` tokens in any `t` seconds, also during a network
 partition. The bound is on tokens issued: a borrowed token may be used up to about two
 `LOAN_LIFETIME_S` later, or as long after a refund, and is then dropped.
@@ -23,6 +24,8 @@
 from lavenderway_core.bucket import TokenBucket
 from lavenderway_core.ids import WorkspaceId
 
+from lavenderway_relay.token_role import SPLIT_SHARE
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
@@ -151,10 +154,15 @@
         extra_burst: Tokens added to the burst of each workspace, across all hosts, to
             make up for tokens held in loans.
 
+    Attributes:
+        lease_expired: Whether the buckets have been reduced at the end of the lease.
+
     """
 
     def __init__(self, *, extra_burst: float = 0.0) -> None:
         self.extra_burst = extra_burst
+        self.lease_expired = False
+        self._lease_until = float("inf")  # monotonic time, in seconds
         self._allowances: dict[WorkspaceId, _Allowance] = {}
         self._ticked_at = 0.0
         self._loans_expired_at = 0.0
@@ -165,16 +173,20 @@
         *,
         fraction_of: Callable[[WorkspaceId], float],
         now: float,
+        lease_until: float = float("inf"),
     ) -> None:
-        """Apply a change of the configuration or of the token owners.
+        """Apply a change of the configuration, of the token owners or of the lease.
 
         Args:
             workspaces: The workspaces in force.
             fraction_of: Returns the fraction of a workspace's rate and burst that this
                 host keeps, from 0 to 1; 0 on a host that is not a token owner of it.
             now: Current monotonic time in seconds.
+            lease_until: Monotonic time from which on only `SPLIT_SHARE` of the
+                fractions may be issued, in seconds.
 
         """
+        self._enforce_lease(now)
         limited = {w.id: w for w in workspaces if w.rate_per_s > 0}
         for removed in self._allowances.keys() - limited.keys():
             del self._allowances[removed]
@@ -188,6 +200,29 @@
                 self._allowances[workspace.id] = _Allowance(bucket)
             else:
                 known.bucket.resize(rate_per_s=rate_per_s, burst=burst, now=now)
+        self.lease_expired = False
+        self._lease_until = lease_until
+        self._enforce_lease(now)
+
+    def extend_lease(self, until: float) -> None:
+        """Postpone the end of a lease that has not expired."""
+        self._lease_until = max(until, self._lease_until)
+
+    def _enforce_lease(self, now: float) -> None:
+        """Reduce the buckets if the lease has run out.
+
+        Called before each use, as the process may have been suspended since the last.
+        """
+        if self.lease_expired or now < self._lease_until:
+            return
+        self.lease_expired = True
+        for allowance in self._allowances.values():
+            bucket = allowance.bucket
+            bucket.resize(
+                rate_per_s=bucket.rate_per_s * SPLIT_SHARE,
+                burst=bucket.burst * SPLIT_SHARE,
+                now=self._lease_until,
+            )
 
     def take(self, workspace: WorkspaceId, now: float) -> bool:
         """Count an arrival and take one token; return whether there was one.
@@ -197,6 +232,7 @@
         allowance = self._allowances.get(workspace)
         if allowance is None:
             return True
+        self._enforce_lease(now)
         allowance.arrivals += 1
         return allowance.take(now)
 
@@ -205,6 +241,7 @@
 
         The request has already been counted as an arrival.
         """
+        self._enforce_lease(now)
         allowance = self._allowances.get(workspace)
         return allowance is None or allowance.take(now)
 
@@ -231,6 +268,7 @@
         allowance = self._allowances.get(workspace)
         if allowance is None:
             return 0.0
+        self._enforce_lease(now)
         bucket = allowance.bucket
         bucket.refill(now)
         granted = min(amount, bucket.tokens - LENDER_RESERVE_S * allowance.demand_per_s)
@@ -296,6 +334,7 @@
 
         Also expires borrowed tokens.
         """
+        self._enforce_lease(now)
         elapsed = now - self._ticked_at
         self._ticked_at = now
         loans_expire = now - self._loans_expired_at >= LOAN_LIFETIME_S
--- a/packages/lavenderway-relay/lavenderway_relay/records.py
+++ b/packages/lavenderway-relay/lavenderway_relay/records.py
@@ -74,6 +74,8 @@
         "serving": record.serving,
         "started": record.started_ms,
     }
+    if record.joined:
+        fields["joined"] = True
     if upstream is not None:
         fields["upstream"] = {
             "id": upstream.id,
@@ -107,6 +109,7 @@
         serving=_require_bool(fields, "serving"),
         upstream=upstream,
         started_ms=int(fields["started"]),
+        joined="joined" in fields and _require_bool(fields, "joined"),
         revision=revision,
     )
 
--- a/packages/lavenderway-relay/lavenderway_relay/state.py
+++ b/packages/lavenderway-relay/lavenderway_relay/state.py
@@ -19,7 +19,8 @@
 from lavenderway_relay.running_requests import RunningRequests
 from lavenderway_relay.tasks import BackgroundTasks
 from lavenderway_relay.token_owners import TokenOwnerMap
-from lavenderway_relay.view_age import ViewAges
+from lavenderway_relay.token_role import LEASE_S, TokenRole
+from lavenderway_relay.view_age import View, ViewAges
 
 if TYPE_CHECKING:
     from lavenderway_core.ids import HostId
@@ -63,6 +64,7 @@
             once its callers have had time to move to other nodes; infinite before.
         started_ms: Wall-clock start of the process, in milliseconds.
         lag_s: Delay of the event loop's timers, in seconds.
+        token_role: The share of its tokens that this host may issue.
         tasks: Background tasks of the node.
         response_budget: Limits the bytes of incomplete responses that the node holds.
         upstream_notices: What the upstreams of other hosts say of themselves, by host;
@@ -90,12 +92,16 @@
     started_ms: int = 0
     lag_s: float = 0.0
     upstream_notices: dict[HostId, UpstreamNotice] = field(default_factory=dict)
+    token_role: TokenRole = field(init=False)
     tasks: BackgroundTasks = field(init=False)
     response_budget: ResponseBudget = field(init=False)
 
     def __post_init__(self) -> None:
         """Create the components that depend on the log or the settings."""
         self.tasks = BackgroundTasks(log=self.log)
+        self.token_role = TokenRole(
+            host=self.settings.host, failure_domain=self.settings.failure_domain
+        )
         memory_bytes = self.settings.memory_bytes
         self.response_budget = ResponseBudget(
             max_bytes=MAX_HELD_BYTES
@@ -166,14 +172,30 @@
             self.update_quota(now)
 
     def update_quota(self, now: float) -> None:
-        """Resize the token buckets for the active configuration and token owner map."""
+        """Resize the token buckets for the present configuration, owners and share."""
         if self.route_table is None:
             return
         host = self.settings.host
+        share = self.token_role.share(self.host_registry.members(), now)
         self.quota.resize(
             self.route_table.configuration.workspaces.values(),
-            fraction_of=lambda workspace: self.token_owners.fraction_of(
-                workspace, host
+            fraction_of=lambda workspace: (
+                share * self.token_owners.fraction_of(workspace, host)
             ),
             now=now,
+            lease_until=self._lease_until,
         )
+
+    def renew_lease(self, now: float) -> None:
+        """Extend the lease of the token buckets to the last confirmation of the hosts.
+
+        A lease that has run out is renewed only by a later confirmation.
+        """
+        if not self.quota.lease_expired:
+            self.quota.extend_lease(self._lease_until)
+        elif now < self._lease_until:
+            self.update_quota(now)
+
+    @property
+    def _lease_until(self) -> float:
+        return self.view_ages.confirmed_at(View.HOSTS) + LEASE_S
--- a/packages/lavenderway-relay/lavenderway_relay/sync.py
+++ b/packages/lavenderway-relay/lavenderway_relay/sync.py
@@ -12,7 +12,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from lavenderway_relay.confirmation import (
     CONFIRM_INTERVAL_S,
@@ -27,12 +27,17 @@
     TableFeed,
 )
 from lavenderway_relay.model import HostRecord
-from lavenderway_relay.peer_client import RECORD_TARGET, STATE_TARGET
+from lavenderway_relay.peer_client import (
+    MEMBER_TARGET,
+    RECORD_TARGET,
+    STATE_TARGET,
+)
 from lavenderway_relay.records import (
     RecordFormatError,
     decode_record,
     decode_records,
     encode_record,
+    encode_records,
 )
 from lavenderway_relay.revision import (
     NO_REVISION,
@@ -41,6 +46,7 @@
     encode_revision,
 )
 from lavenderway_relay.store import ABSENT, ConflictError, OutcomeUnknownError
+from lavenderway_relay.token_role import Acknowledgement
 from lavenderway_relay.view_age import View, decode_ages
 
 if TYPE_CHECKING:
@@ -55,6 +61,10 @@
 HOSTS_TABLE = "lavenderway-hosts"
 PEER_PULL_INTERVAL_S = 0.3  # used while the store is unavailable
 PEER_PULL_DELAY_S = 0.15  # the feed usually delivers the change within this time
+JOIN_INTERVAL_S = 0.1  # between two requests to acknowledge this host
+MAX_CONCURRENT_JOIN_QUERIES = 16
+# Time in which hosts write the records again that the store has lost.
+RESTORE_TIME_S = 3.0
 MAX_CONFIRMING_PEERS = 8  # nodes that a restarted node asks for its own record
 # Pause after a change of the configuration, so that one call reads the changes made
 # meanwhile.
@@ -178,6 +188,7 @@
             self._write_own_record(),
             self._pull_while_store_unavailable(),
             self._confirm_views(),
+            self._join_token_owners(),
         ):
             self._tasks.append(self._state.tasks.start(coroutine, self._loop))
 
@@ -188,6 +199,10 @@
 
     def publish(self) -> None:
         """Schedule a write of this host's record to the store."""
+        if self.build_own_record().retired:
+            # Others own this host's tokens as soon as they see the record.
+            self._state.token_role.release()
+            self._state.update_quota(self._loop.time())
         self._own_record_stored.clear()
         self._own_record_changed.set()
 
@@ -224,6 +239,7 @@
             serving=self._state.serving,
             upstream=self._state.local_upstream.current,
             started_ms=self._state.started_ms,
+            joined=self._state.token_role.joined,
             revision=Revision(self._store_era.current or 0, self._own_row.version),
         )
 
@@ -231,6 +247,7 @@
         self._state.log.state(
             "store.restored", self._loop.time(), before=before, era=era
         )
+        self._state.view_ages.suspend(self._loop.time() + RESTORE_TIME_S)
         self._verify_era()
 
     def _verify_era(self) -> None:
@@ -371,6 +388,7 @@
                 record = self._find_own_record()
             if record is not None:
                 self._restore_upstream(record)
+                self._restore_token_role(record)
                 if self.build_own_record() != record:
                     self.publish()
         finally:
@@ -391,6 +409,69 @@
         )
         self._upstream_runner.apply_announcement()
 
+    def _restore_token_role(self, record: HostRecord) -> None:
+        """Resume the role of this host's earlier process, if others still know it."""
+        if (
+            record.joined
+            and not record.retired
+            and record.revision.era == self._store_era.current
+        ):
+            self._state.token_role.restore()
+            self._state.update_quota(self._loop.time())
+
+    async def _join_token_owners(self) -> None:
+        """Ask other hosts to acknowledge this one until it owns its tokens."""
+        state = self._state
+        await self._own_record_restored.wait()
+        while not state.token_role.joined:
+            await asyncio.sleep(JOIN_INTERVAL_S * (0.75 + self._random() / 2))
+            try:
+                await self._request_acknowledgements()
+            except Exception as error:  # the host must join all the same
+                self._log_unexpected_error(error)
+        state.log.state("keeper.joined", self._loop.time())
+        self.publish()
+
+    async def _request_acknowledgements(self) -> None:
+        state = self._state
+        record = self._find_own_record()
+        if record is None or record.started_ms != state.started_ms:
+            return  # not stored yet
+        if state.host_registry.revision < record.revision:
+            self._hosts_feed.confirm()
+            return
+        state.token_role.request(self._loop.time())
+        hosts = state.token_role.hosts_to_ask(
+            state.host_registry.members(),
+            is_reachable=state.load_balancer.is_reachable,
+            now=self._loop.time(),
+        )
+        payload = {
+            "record": encode_records([record])[0],
+            "established": state.token_role.established,
+        }
+        for first in range(0, len(hosts), MAX_CONCURRENT_JOIN_QUERIES):
+            batch = hosts[first : first + MAX_CONCURRENT_JOIN_QUERIES]
+            await asyncio.gather(
+                *(self._request_acknowledgement(host, payload) for host in batch)
+            )
+        state.update_quota(self._loop.time())
+
+    async def _request_acknowledgement(
+        self, record: HostRecord, payload: dict[str, Any]
+    ) -> None:
+        reply = await self._peer_client.query(record, MEMBER_TARGET, payload)
+        if reply is None or reply.get("known") is not True:
+            return
+        established = reply.get("established") is True
+        self._state.token_role.record_acknowledgement(
+            Acknowledgement(record.host, record.failure_domain, established)
+        )
+
+    def learn_member(self, record: HostRecord) -> None:
+        """Merge the record of a host that joins the fleet."""
+        self._merge_records([record], NO_REVISION, record.host)
+
     async def _pull_own_record(self) -> None:
         """Merge the newest record of this host that several peers know."""
         host = self._state.settings.host
@@ -442,6 +523,8 @@
         self._store_era.observe(written.era)
         self._own_row = written
         self._merge_records([decode_record(value, written.version)], NO_REVISION, "own")
+        if not self._state.token_role.joined:
+            self._hosts_feed.confirm()  # joining needs all records stored before
         if written.era != record.revision.era:
             self._own_record_changed.set()  # a row names the era that it is written in
         if not self._own_record_changed.is_set():
--- a/tests/relay/test_peer_handler.py
+++ b/tests/relay/test_peer_handler.py
@@ -7,9 +7,15 @@
 
 import orjson
 from lavenderway_relay.messages import Request, Response
-from lavenderway_relay.peer_client import RECORD_TARGET, STATE_TARGET, PeerClient
+from lavenderway_relay.model import HostRecord, UpstreamStatus
+from lavenderway_relay.peer_client import (
+    MEMBER_TARGET,
+    RECORD_TARGET,
+    STATE_TARGET,
+    PeerClient,
+)
 from lavenderway_relay.peer_handler import PeerRequestHandler
-from lavenderway_relay.records import decode_records
+from lavenderway_relay.records import decode_records, encode_records
 from lavenderway_relay.revision import Revision
 from lavenderway_relay.upstream_runner import UpstreamRunner
 
@@ -30,6 +36,7 @@
         state.host_registry.merge([OLD_RECORD, NEW_RECORD])
         state.host_registry.advance_revision(Revision(1, 2))
         loop = asyncio.get_running_loop()
+        self.state = state
         self.handler = PeerRequestHandler(
             state=state,
             upstream_runner=UpstreamRunner(state=state, loop=loop),
@@ -68,6 +75,31 @@
             (STATE_TARGET, {}),
             (RECORD_TARGET, {}),
             (RECORD_TARGET, {"host": []}),
+            (MEMBER_TARGET, {}),
+            (MEMBER_TARGET, {"record": {"host": "a"}}),
+            (MEMBER_TARGET, {"record": 1}),
         ):
             with self.subTest(target=target, payload=payload):
                 self.assertEqual(400, (await self.query(target, payload)).status)
+
+    def merge(self, record: HostRecord) -> None:
+        self.state.host_registry.merge([record])
+
+    async def ask_to_acknowledge(self, record: HostRecord) -> Any:
+        payload = {"record": encode_records([record])[0]}
+        return orjson.loads((await self.query(MEMBER_TARGET, payload)).body)
+
+    async def test_joining_host_is_known_as_soon_as_it_is_acknowledged(self) -> None:
+        joining = make_record("joining", era=1, revision=3)
+        self.handler.on_record = self.merge
+        reply = await self.ask_to_acknowledge(joining)
+        self.assertEqual({"known": True, "established": False}, reply)
+        self.assertIn(joining, self.state.host_registry.members())
+
+    async def test_host_known_as_retired_is_not_acknowledged(self) -> None:
+        retired = make_record(
+            "joining", status=UpstreamStatus.GONE, serving=False, era=1, revision=4
+        )
+        self.state.host_registry.merge([retired])
+        reply = await self.ask_to_acknowledge(make_record("joining", era=1, revision=3))
+        self.assertIs(False, reply["known"])
