Take calls at a stop only if they end before the exit

Cause: calls were taken until the exit, however long they might last, and everything in progress was interrupted then.

Change: a call is taken if its deadline, or the time in which calls of its route usually end, is before the end of the node; others are refused unsent.

--- a/packages/lavenderway-relay/lavenderway_relay/attempt_timeout.py
+++ b/packages/lavenderway-relay/lavenderway_relay/attempt_timeout.py
@@ -41,6 +41,17 @@
         self._mean_s += MEAN_EWMA_WEIGHT * error_s
         self._deviation_s += DEVIATION_EWMA_WEIGHT * (abs(error_s) - self._deviation_s)
 
+    @property
+    def longest_usual_s(self) -> float | None:
+        """Time within which a response usually arrives, in seconds.
+
+        None if there are too few samples.
+        """
+        if self._response_count < MIN_SAMPLES:
+            return None
+        expected_max_s = self._mean_s + DEVIATION_FACTOR * self._deviation_s
+        return max(MIN_TIMEOUT_S, expected_max_s)
+
     def timeout_s(self, time_left_s: float) -> float | None:
         """Return the timeout of one attempt, in seconds.
 
@@ -52,8 +63,8 @@
                 be left for another attempt.
 
         """
-        if self._response_count < MIN_SAMPLES:
+        longest_s = self.longest_usual_s
+        if longest_s is None:
             return None
-        expected_max_s = self._mean_s + DEVIATION_FACTOR * self._deviation_s
-        wait_s = max(MIN_TIMEOUT_S, MIN_MEAN_FACTOR * self._mean_s, expected_max_s)
+        wait_s = max(longest_s, MIN_MEAN_FACTOR * self._mean_s)
         return wait_s if wait_s <= MAX_TIME_LEFT_FRACTION * time_left_s else None
--- a/packages/lavenderway-relay/lavenderway_relay/caller_handler.py
+++ b/packages/lavenderway-relay/lavenderway_relay/caller_handler.py
@@ -208,12 +208,17 @@
     def _is_too_late(self, context: RequestContext) -> bool:
         """Return whether the node exits too early for a request.
 
-        A call is taken until the exit, as the request that made it would fail without.
+        The request that makes a call would fail without it, so a call is also taken if
+        it usually ends in time, though its deadline is later.
         """
-        exit_at = self._state.exit_at
-        if context.parent is not None:
-            return context.received_at >= exit_at
-        return context.deadline > exit_at
+        state = self._state
+        if context.parent is None:
+            return context.deadline > state.exit_at
+        if context.deadline <= state.complete_at:
+            return False
+        usual = self._feedback.timeout_of(context.route.id, context.service)
+        longest_s = usual.longest_usual_s
+        return longest_s is None or self._loop.time() + longest_s > state.complete_at
 
     def _expire(self, context: RequestContext, task: asyncio.Task[Any]) -> None:
         if not context.expired:
--- a/packages/lavenderway-relay/lavenderway_relay/node.py
+++ b/packages/lavenderway-relay/lavenderway_relay/node.py
@@ -48,7 +48,10 @@
 DEPARTURE_WRITE_TIMEOUT_S = 0.6  # announcements must get a response within a second
 LEAVE_TIME_S = 2.4  # callers leave after two failed readiness checks of a second each
 MAX_LEAVE_SHARE = 0.5  # of the grace period; the rest is for completing what was taken
-EXIT_MARGIN_S = 0.8  # part of the grace period kept for writing the last responses
+# Parts of the grace period at its end: the last root requests taken end before the
+# first, everything else before the second, which is kept for writing responses.
+EXIT_MARGIN_S = 0.8
+COMPLETION_MARGIN_S = 0.5
 WRITE_TIMEOUT_S = 0.3  # part of the margin in which callers take the last responses
 WRITE_POLL_INTERVAL_S = 0.005
 READ_TIME_S = 0.01  # several iterations of the event loop, which read what has arrived
@@ -356,10 +359,15 @@
             self._sync.publish()
             await asyncio.sleep(started + leave_s - self._loop.time())
             state.exit_at = started + grace_s
+            state.complete_at = started + max(
+                grace_s, state.settings.shutdown_grace_s - COMPLETION_MARGIN_S
+            )
             self._peer_server.stop()
-            await self._wait_until_idle(state.exit_at)
+            await self._wait_until_idle(state.complete_at)
         finally:
-            state.exit_at = min(state.exit_at, self._loop.time())
+            now = self._loop.time()
+            state.exit_at = min(state.exit_at, now)
+            state.complete_at = min(state.complete_at, now)
             interrupted = await self._close_servers(started)
             now = self._loop.time()
             state.log.state(
--- a/packages/lavenderway-relay/lavenderway_relay/state.py
+++ b/packages/lavenderway-relay/lavenderway_relay/state.py
@@ -60,8 +60,12 @@
         document: The active configuration as stored, in encoded form; empty until the
             first one is loaded.
         serving: False once the node has been told to stop.
-        exit_at: Event loop time at which the node exits at the latest, in seconds. Set
-            once its callers have had time to move to other nodes; infinite before.
+        exit_at: Event loop time by which the root requests that the node still takes
+            must end, in seconds. Set once its callers have had time to move to other
+            nodes; infinite before.
+        complete_at: Event loop time at which the node breaks off what is unfinished, in
+            seconds; set together with `exit_at`. Calls of running requests are taken
+            as long as they end before it.
         started_ms: Wall-clock start of the process, in milliseconds.
         lag_s: Delay of the event loop's timers, in seconds.
         token_role: The share of its tokens that this host may issue.
@@ -89,6 +93,7 @@
     document: bytes = b""
     serving: bool = True
     exit_at: float = math.inf
+    complete_at: float = math.inf
     started_ms: int = 0
     lag_s: float = 0.0
     upstream_notices: dict[HostId, UpstreamNotice] = field(default_factory=dict)
--- a/tests/end_to_end/test_relay_fleet.py
+++ b/tests/end_to_end/test_relay_fleet.py
@@ -17,7 +17,7 @@
     make_config,
     make_route,
 )
-from lavenderway_dev.server_standin import Call, ServerPlan
+from lavenderway_dev.server_standin import Call, CallResult, ServerPlan
 from lavenderway_relay.messages import Request, Response, encode_request
 from lavenderway_relay.model import Address
 from lavenderway_relay.pools import ConnectError, ConnectionBrokenError
@@ -509,6 +509,56 @@
         self.assertEqual([], leaving.runs)
 
 
+class CallsAtExit(unittest.IsolatedAsyncioTestCase):
+    """A stopping node breaks off no call of a request that its upstream runs."""
+
+    SEPARATE_PROCESSES = True
+
+    async def test_calls_that_last_until_the_exit(self) -> None:
+        """Requests with 5.6 s of calls run while their node gets SIGTERM."""
+        calls = {"/order/": [Call(authority="app.example", path="/stock/x", times=14)]}
+        plans = [
+            RelayHostPlan(
+                name="entry",
+                zone="east",
+                server=ServerPlan(service="stock", service_time_s=0.4),
+            ),
+            RelayHostPlan(
+                name="back",
+                zone="west",
+                server=ServerPlan(service="back", calls=calls),
+            ),
+        ]
+        routes = {
+            "order": make_route("/order/", "back", kind="unsafe", timeout="6000ms"),
+            "stock": make_route("/stock/", "stock", timeout="6000ms"),
+        }
+        results: list[CallResult] = []
+        async with RelayFleet(plans, config=make_config(1, routes)) as fleet:
+            back, entry = fleet.hosts["back"], fleet.hosts["entry"]
+            back.server.on_call = lambda _, result: results.append(result)
+            sending = []
+            for _ in range(4):
+                order = fleet.send("entry", "/order/x", method="POST", deadline_ms=6000)
+                sending.append(asyncio.create_task(order))
+                await asyncio.sleep(0.1)
+            back.signal(signal.SIGTERM)
+            self.assertEqual(0, await back.wait())
+            await asyncio.gather(*sending)
+            ran = {
+                (run.header(b"lavenderway-attempt-id") or b"").decode()
+                for run in entry.server.runs
+            }
+        broken_off = [
+            result.id
+            for result in results
+            if result.id in ran
+            and (result.response is None or result.response.status != 200)
+        ]
+        self.assertGreater(len(ran), 40)
+        self.assertEqual([], broken_off)
+
+
 class DescriptorLimit(StoppingNodeCase):
     """Idle connections of callers do not use up the descriptors of a node."""
 
