--- a/packages/lavenderway-dev/lavenderway_dev/interleaving.py
+++ b/packages/lavenderway-dev/lavenderway_dev/interleaving.py
@@ -739,7 +739,7 @@
 
 
 @contextlib.contextmanager
-def _replace_system(loop: VirtualLoop, random: random_module.Random) -> Iterator[None]:
+def replace_system(loop: VirtualLoop, random: random_module.Random) -> Iterator[None]:
     """Replace the sockets, clocks and random numbers that the relay takes directly."""
     clock = SimpleNamespace(time=loop.time, monotonic=loop.time)
     server = "lavenderway_relay.server"
@@ -770,7 +770,7 @@
     loop = VirtualLoop(random=random_module.Random(random.random()))
     result = Interleaving(seed=seed, planned=seed % 2 == 0, has_notices=has_notices)
     loop.set_exception_handler(lambda *_: None)  # tasks of killed processes
-    with _replace_system(loop, random_module.Random(random.random())):
+    with replace_system(loop, random_module.Random(random.random())):
         run = InterleavingRun(
             loop=loop,
             result=result,
--- a/packages/lavenderway-dev/lavenderway_dev/relay_fleet.py
+++ b/packages/lavenderway-dev/lavenderway_dev/relay_fleet.py
@@ -218,19 +218,29 @@
         )
         self.store = MetadataStore()
         self.configure(self.config)
-        folder = Path(self._folder.name)
         for plan in self._plans:
-            host = self.host_class(plan=plan, folder=folder)
-            self.hosts[plan.name] = host
-            listener = await self.store.listen(host.store_address, host.faults)
-            self._store_listeners.append(listener)
-            await self.prepare(host)
-            await host.start_node()
+            await self._start_host(plan)
         for host in self.hosts.values():
             await self.wait_until_ready(host)
             await host.server.start()
         await self.wait_until_upstreams_known()
 
+    async def _start_host(self, plan: RelayHostPlan) -> RelayHost:
+        host = self.host_class(plan=plan, folder=Path(self._folder.name))
+        self.hosts[plan.name] = host
+        listener = await self.store.listen(host.store_address, host.faults)
+        self._store_listeners.append(listener)
+        await self.prepare(host)
+        await host.start_node()
+        return host
+
+    async def add(self, plan: RelayHostPlan) -> RelayHost:
+        """Add a host to the running fleet, and wait until its node is ready."""
+        host = await self._start_host(plan)
+        await self.wait_until_ready(host)
+        await host.server.start()
+        return host
+
     async def __aexit__(
         self,
         kind: type[BaseException] | None,
--- a/packages/lavenderway-dev/lavenderway_dev/store_standin.py
+++ b/packages/lavenderway-dev/lavenderway_dev/store_standin.py
@@ -21,6 +21,7 @@
     from lavenderway_relay.model import Address
 
 MAX_PAGE_ROWS = 500
+LOST_S = 3600.0  # longer than any call waits for its response
 
 
 @dataclass
@@ -29,16 +30,28 @@
 
     Attributes:
         refuse_with: Status of the response to every call; 0 to serve calls.
-        silent: Whether calls get no response.
+        silent: Whether calls get no response, those that are pending included.
+        silences: Number of times that `silent` was set.
         delay_s: Delay of each response, in seconds.
         responses_to_lose: Number of coming commits that take effect without a response.
 
     """
 
     refuse_with: int = 0
-    silent: bool = False
     delay_s: float = 0.0
     responses_to_lose: int = 0
+    silences: int = 0
+    _silent: bool = False
+
+    @property
+    def silent(self) -> bool:
+        """Whether calls get no response."""
+        return self._silent
+
+    @silent.setter
+    def silent(self, silent: bool) -> None:
+        self.silences += silent
+        self._silent = silent
 
 
 class StoreCopy(NamedTuple):
@@ -132,14 +145,17 @@
         self._changed = asyncio.Event()
 
     async def _serve(self, request: Request, faults: StoreFaults) -> Response:
+        silences = faults.silences
         response = await self._serve_call(request, faults)
+        if faults.silences > silences:
+            await asyncio.sleep(LOST_S)
         era = (b"store-era", b"%d" % self.era)
         return response._replace(headers=[*response.headers, era])
 
     async def _serve_call(self, request: Request, faults: StoreFaults) -> Response:
         self.calls += 1
         if faults.silent:
-            await asyncio.sleep(3600)
+            await asyncio.sleep(LOST_S)
         if faults.refuse_with:
             return Response(faults.refuse_with, [], b"")
         if faults.delay_s:
@@ -197,7 +213,7 @@
             self.put(row["table"], row["key"], b64decode(row["value"]))
         if faults.responses_to_lose > 0:
             faults.responses_to_lose -= 1
-            await asyncio.sleep(3600)
+            await asyncio.sleep(LOST_S)
         return self._respond({})
 
     def _encode_row(self, table: str, key: str) -> dict[str, Any]:
--- a/tests/dev/test_interleaving.py
+++ b/tests/dev/test_interleaving.py
@@ -6,14 +6,17 @@
 
 SEEDS_PER_PROCESS = 75
 NOTICE_SEEDS_PER_PROCESS = 25
+VIEW_SEEDS_PER_PROCESS = 10
 PROCESSES = 4
 TIMEOUT_S = 300.0
 
 
-async def run_program(*arguments: str) -> tuple[int, str]:
+async def run_program(
+    *arguments: str, module: str = "lavenderway_dev.interleaving"
+) -> tuple[int, str]:
     """Run the program; return its exit code and output."""
     process = await asyncio.create_subprocess_exec(
-        *(sys.executable, "-m", "lavenderway_dev.interleaving", *arguments),
+        *(sys.executable, "-m", module, *arguments),
         stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.DEVNULL,
     )
@@ -26,13 +29,19 @@
 class Interleavings(unittest.IsolatedAsyncioTestCase):
     """No invariant is violated, whatever the order of events."""
 
-    async def check_seeds(self, per_process: int, *options: str) -> None:
+    async def check_seeds(
+        self,
+        per_process: int,
+        *options: str,
+        module: str = "lavenderway_dev.interleaving",
+    ) -> None:
         results = await asyncio.gather(
             *(
                 run_program(
                     *("--seed", str(1 + index * per_process)),
                     *("--count", str(per_process)),
                     *options,
+                    module=module,
                 )
                 for index in range(PROCESSES)
             )
@@ -46,6 +55,10 @@
     async def test_seeds_with_limits_and_departures_named_in_responses(self) -> None:
         await self.check_seeds(NOTICE_SEEDS_PER_PROCESS, "--notices")
 
+    async def test_seeds_with_differing_views_and_long_calls(self) -> None:
+        module = "lavenderway_dev.view_interleaving"
+        await self.check_seeds(VIEW_SEEDS_PER_PROCESS, module=module)
+
     async def test_seed_always_gives_the_same_run(self) -> None:
         arguments = ("--seed", "5", "--count", "2", "--digests")
         first, second = await asyncio.gather(
