Refuse numbers that a host record cannot be passed on with

Reported by other operators: an odd entry among those of the servers kept machines from following the list. Here a host record or a heartbeat with a number of 20 to 308 digits was accepted; every reply that passes the record on then failed, and a node with such a heartbeat could not store its own record.

Cause: numbers had no upper bound, and JSON as nodes write it has integers of 64 bits.

--- a/packages/lavenderway-relay/lavenderway_relay/records.py
+++ b/packages/lavenderway-relay/lavenderway_relay/records.py
@@ -12,6 +12,8 @@
 from lavenderway_relay.revision import Revision, decode_revision, encode_revision
 
 PORTS = range(1, 65536)
+# Larger numbers cannot be passed on: JSON as written here has integers of 64 bits.
+MAX_NUMBER = 2**53 - 1
 
 
 class RecordFormatError(Exception):
@@ -97,10 +99,10 @@
             id=UpstreamId(_require_str(upstream_fields, "id")),
             service=ServiceId(_require_str(upstream_fields, "service")),
             address=parse_address(_require_str(upstream_fields, "address")),
-            slots=max(1, int(upstream_fields["slots"])),
+            slots=max(1, _require_number(upstream_fields, "slots")),
             status=UpstreamStatus(upstream_fields["status"]),
-            started_ms=int(upstream_fields["born"]),
-            sequence=int(upstream_fields["sequence"]),
+            started_ms=_require_number(upstream_fields, "born"),
+            sequence=_require_number(upstream_fields, "sequence"),
         )
     return HostRecord(
         host=HostId(_require_str(fields, "host")),
@@ -108,7 +110,7 @@
         failure_domain=FailureDomainId(_require_str(fields, "domain")),
         serving=_require_bool(fields, "serving"),
         upstream=upstream,
-        started_ms=int(fields["started"]),
+        started_ms=_require_number(fields, "started"),
         joined="joined" in fields and _require_bool(fields, "joined"),
         revision=revision,
     )
@@ -121,6 +123,19 @@
     return value
 
 
+def _require_number(fields: dict[str, Any], key: str) -> int:
+    value = fields[key]
+    if (
+        not isinstance(value, int)
+        or isinstance(value, bool)
+        or not 0 <= value <= MAX_NUMBER
+    ):
+        raise ValueError(
+            f"{key}: expected an integer from 0 to {MAX_NUMBER}, got {value!r:.40}"
+        )
+    return value
+
+
 def _require_bool(fields: dict[str, Any], key: str) -> bool:
     value = fields[key]
     if not isinstance(value, bool):
--- a/tests/platform_adapter/test_decoding.py
+++ b/tests/platform_adapter/test_decoding.py
@@ -47,6 +47,12 @@
             ("status.sequence", {**HEARTBEAT, "status": {"state": "ready"}}),
             ("address", {**HEARTBEAT, "address": "nowhere"}),
             ("born", {**HEARTBEAT, "born": "yesterday"}),
+            ("born", {**HEARTBEAT, "born": 1e300}),
+            ("status.sequence", {**HEARTBEAT, "status": {**status, "sequence": 2**63}}),
+            (
+                "info.capacity",
+                {**HEARTBEAT, "info": {"service": "s", "capacity": 2**63}},
+            ),
         ]
         for key_path, fields in cases:
             with self.subTest(key_path):
--- a/tests/relay/test_host_registry.py
+++ b/tests/relay/test_host_registry.py
@@ -102,6 +102,12 @@
         self.assertEqual([newer], host_registry.changed_since(Revision(0, 3)))
 
 
+def _replace_number(fields: dict[str, Any], key: str, number: str) -> bytes:
+    """Return fields as JSON with a number that Python's JSON could not write."""
+    text = orjson.dumps({**fields, key: "number"})
+    return text.replace(b'"number"', number.encode())
+
+
 class RecordEncoding(unittest.TestCase):
     """Records keep all values when encoded, and malformed ones are rejected."""
 
@@ -126,6 +132,25 @@
             with self.subTest(value=value), self.assertRaises(RecordFormatError):
                 decode_record(value, 1)
 
+    def test_numbers_that_cannot_be_passed_on_are_rejected(self) -> None:
+        """Another writer's number made every reply with its record fail."""
+        fields = orjson.loads(encode_record(make_record("a")))
+        upstream = fields["upstream"]
+        for number in ("9" * 20, "9" * 400, "1e300", "1e999", "-1", "true"):
+            texts = [
+                _replace_number(fields, "started", number),
+                *(
+                    orjson.dumps(fields).replace(
+                        orjson.dumps(upstream),
+                        _replace_number(upstream, key, number),
+                    )
+                    for key in ("slots", "born", "sequence")
+                ),
+            ]
+            for text in texts:
+                with self.subTest(text=text), self.assertRaises(RecordFormatError):
+                    decode_record(text, 1)
+
     def test_fields_of_wrong_type_are_rejected(self) -> None:
         fields = orjson.loads(encode_record(make_record("a", era=1)))
         for key in fields:
--- a/tests/relay/test_sync.py
+++ b/tests/relay/test_sync.py
@@ -7,7 +7,8 @@
 from dataclasses import replace
 from typing import Any, cast
 
-from lavenderway_core.ids import FailureDomainId, ServiceId, UpstreamId
+import orjson
+from lavenderway_core.ids import FailureDomainId, HostId, ServiceId, UpstreamId
 from lavenderway_relay.model import Configuration, HostRecord, Upstream, UpstreamStatus
 from lavenderway_relay.peer_client import RECORD_TARGET, PeerClient
 from lavenderway_relay.records import decode_record, encode_record, encode_records
@@ -258,6 +259,44 @@
         self.assertEqual([], self.peer_client.queries)
 
 
+class OddRows(StateSyncCase):
+    """Rows of another writer among the host records stop nothing."""
+
+    async def test_rows_beside_valid_ones_can_be_passed_on(self) -> None:
+        await self.start()
+        odd = encode_record(replace(PEER, host=HostId("odd")))
+        for index, row in enumerate(
+            (
+                b"[" * 100_000,
+                b'{"a":' * 5_000,
+                odd.replace(b'"slots":10', b'"slots":%s' % (b"9" * 20)),
+                odd.replace(b'"slots":10', b'"slots":1e999'),
+                odd.replace(b'"started":0', b'"started":1e300'),
+                odd.replace(b"10.0.0.1:81", b"10.0.0.1:99999"),
+            )
+        ):
+            key = "odd" if index else "nested"
+            self.store.put(HOSTS_TABLE, key, row)
+        self.put_record(PEER)
+        registry = self.state.host_registry
+        await self.wait_until(lambda: registry.find(PEER.host) is not None)
+        records = registry.changed_since(NO_REVISION)
+        self.assertEqual([PEER.host], [record.host for record in records])
+        orjson.dumps(encode_records(records))
+        self.assertIs(True, self.sync._hosts_feed.healthy)
+
+    async def test_each_odd_row_alone_is_passed_over(self) -> None:
+        await self.start()
+        odd = encode_record(replace(PEER, host=HostId("odd")))
+        for number in (b"9" * 20, b"1e300"):
+            self.store.put(
+                HOSTS_TABLE, "odd", odd.replace(b'"slots":10', b'"slots":' + number)
+            )
+            self.sync._hosts_feed.verify()
+            await asyncio.sleep(0.05)
+            orjson.dumps(encode_records(self.state.host_registry.members()))
+
+
 CONFIG_KEY = "config"
 
 
