Compare the ID of a response that ends with its connection

Cause: the ID was compared where a message ends by its framing, not where it ends with the connection, and the classifier compared it for successes only.

Change: a response that carries the ID of another request fails the request with an unknown outcome on either path, and is never a rejection.

--- a/packages/lavenderway-relay/lavenderway_relay/client.py
+++ b/packages/lavenderway-relay/lavenderway_relay/client.py
@@ -159,7 +159,11 @@
         """Complete a response whose body is delimited by the end of the stream."""
         self.broken = True
         if self._ends_at_eof and not has_pending_error(self._transport):
-            self._finish(reusable=False)
+            if self._is_for_other_request():
+                # It has swallowed what may have been the response to the request.
+                self._fail(ConnectionBrokenError("response to another request"))
+            else:
+                self._finish(reusable=False)
         return False
 
     def data_received(self, data: bytes) -> None:
--- a/packages/lavenderway-relay/lavenderway_relay/response_classifier.py
+++ b/packages/lavenderway-relay/lavenderway_relay/response_classifier.py
@@ -29,11 +29,15 @@
 ) -> ResponseKind:
     """Classify a complete response of an upstream.
 
-    A success must carry the upstream's signature and the ID of the request, and must
-    not have a content encoding. A status that assures the caller that the request did
+    A response that carries the ID of another request tells nothing of this one. A
+    success must carry the upstream's signature and the ID of the request, and must not
+    have a content encoding. A status that assures the caller that the request did
     not run is trusted only if the upstream marks the response accordingly; otherwise
     the outcome is unknown.
     """
+    response_id = response.header(header_names.request_id)
+    if response_id is not None and response_id != request_id:
+        return ResponseKind.UNUSABLE
     if response.status == MISDIRECTED_STATUS:
         return ResponseKind.MISDIRECTED
     if response.header(header_names.not_executed) is not None:
@@ -42,8 +46,7 @@
         return ResponseKind.UNUSABLE
     if response.status in SUCCESS_STATUSES:
         signed = response.header(header_names.signature) is not None
-        id_matches = response.header(header_names.request_id) == request_id
         encoded = response.header(b"content-encoding") is not None
-        if not signed or not id_matches or encoded:
+        if not signed or response_id is None or encoded:
             return ResponseKind.UNUSABLE
     return ResponseKind.USABLE
--- a/tests/relay/test_connections.py
+++ b/tests/relay/test_connections.py
@@ -94,6 +94,15 @@
         await self.start_with_response(other_response + COMPLETE_RESPONSE)
         self.assertEqual(b"ok", (await self.exchange()).body)
 
+    async def test_response_without_length_for_another_request_fails(self) -> None:
+        """A late copy of a rejection passed for the answer to the next request."""
+        for status in (b"503 Full", b"421 Misdirected", b"500 Error", b"200 OK"):
+            with self.subTest(status):
+                head = b"HTTP/1.1 " + status + b"\r\nx-id: 9\r\n\r\n"
+                await self.start_with_response(head, COMPLETE_RESPONSE)
+                with self.assertRaises(ConnectionBrokenError):
+                    await self.exchange()
+
     async def test_interim_response_is_skipped(self) -> None:
         await self.start_with_response(
             b"HTTP/1.1 100 Continue\r\n\r\n", COMPLETE_RESPONSE
