--- a/packages/lavenderway-dev/lavenderway_dev/soak.py
+++ b/packages/lavenderway-dev/lavenderway_dev/soak.py
@@ -21,9 +21,11 @@
 
 from lavenderway_relay.model import Address
 from lavenderway_relay.pools import ConnectionPool
+from lavenderway_relay.sync import HOSTS_TABLE
 
 from lavenderway_dev.loop_stalls import StallRecorder
 from lavenderway_dev.notice_checks import LEAVING_HEADER, LIMIT_HEADER, Arrival
+from lavenderway_dev.odd_rows import ODD_ROWS
 from lavenderway_dev.relay_fleet import (
     LOOPBACK,
     STOP_GRACE_S,
@@ -61,6 +63,7 @@
     EventKind,
     generate_events,
     generate_notices,
+    generate_view_events,
 )
 from lavenderway_dev.soak_link import LinkFault, LinkProxy
 from lavenderway_dev.soak_seeds import list_failed_seeds
@@ -198,15 +201,25 @@
         seconds: Length of the period in which series of events start, in seconds.
         hosts: Number of hosts.
         notices: Whether upstreams name limits and departures in their responses.
+        views: Whether the store falls silent to hosts, also to pending calls, and
+            another writer leaves rows among those of the hosts.
 
     """
 
     def __init__(
-        self, *, seed: int, seconds: float, hosts: int, notices: bool = False
+        self,
+        *,
+        seed: int,
+        seconds: float,
+        hosts: int,
+        notices: bool = False,
+        views: bool = False,
     ) -> None:
         self.rng = random.Random(seed)
         self.notice_rng = random.Random(f"notices {seed}")
+        self.view_rng = random.Random(f"views {seed}")
         self._has_notices = notices
+        self._has_views = views
         self.planned_only = seed % 2 == 1
         self.observations = Observations()
         self.fleet = SoakFleet(
@@ -242,6 +255,8 @@
             )
             if self._has_notices:
                 events += generate_notices(self.notice_rng, list(hosts))
+            if self._has_views:
+                events += generate_view_events(self.view_rng, list(hosts))
             self._clients = Clients(
                 fleet=self.fleet, observations=self.observations, rng=self.rng
             )
@@ -413,6 +428,7 @@
             link.fault = LinkFault.NONE
         for host in self.fleet.hosts.values():
             host.faults.refuse_with = 0
+            host.faults.silent = False
             host.faults.delay_s = 0.0
             host.faults.responses_to_lose = 0
 
@@ -685,6 +701,22 @@
         await soak.replace_server(host)
 
 
+@_register_handler(EventKind.STORE_SILENT)
+async def _silence_store(soak: Soak, event: Event) -> None:
+    """Give a host no response, also to the calls that are pending."""
+    faults = soak.fleet.hosts[event.host].faults
+    faults.silent = True
+    await asyncio.sleep(event.duration_s)
+    faults.silent = False
+
+
+@_register_handler(EventKind.ODD_ROWS)
+async def _write_odd_rows(soak: Soak, event: Event) -> None:
+    """Leave rows of another writer among those of the hosts."""
+    for index, row in enumerate(ODD_ROWS):
+        soak.fleet.store.put(HOSTS_TABLE, f"odd-{index}", row)
+
+
 async def run_soak(
     *,
     seed: int,
@@ -692,9 +724,10 @@
     hosts: int = 6,
     keep_logs: Path | None = None,
     notices: bool = False,
+    views: bool = False,
 ) -> list[Finding]:
     """Run the soak of one seed; return the violated invariants."""
-    soak = Soak(seed=seed, seconds=seconds, hosts=hosts, notices=notices)
+    soak = Soak(seed=seed, seconds=seconds, hosts=hosts, notices=notices, views=views)
     return await soak.run(keep_logs)
 
 
@@ -725,6 +758,11 @@
         action="store_true",
         help="let upstreams name limits and departures in their responses",
     )
+    parser.add_argument(
+        "--views",
+        action="store_true",
+        help="let the store fall silent to hosts, and another writer leave rows",
+    )
     parser.add_argument("--hosts", type=int, default=6, help="number of hosts")
     parser.add_argument(
         "--logs", type=Path, default=None, help="folder for the logs of failed runs"
@@ -744,6 +782,7 @@
                 hosts=arguments.hosts,
                 keep_logs=logs,
                 notices=arguments.notices,
+                views=arguments.views,
             )
         )
         failed += bool(findings)
--- a/packages/lavenderway-dev/lavenderway_dev/soak_faults.py
+++ b/packages/lavenderway-dev/lavenderway_dev/soak_faults.py
@@ -43,6 +43,8 @@
     UPSTREAM_LINK = "upstream-link"
     NAME_LIMITS = "name-limits"
     SAY_LEAVING = "say-leaving"
+    STORE_SILENT = "store-silent"
+    ODD_ROWS = "odd-rows"
 
 
 PLANNED_KINDS = (
@@ -60,11 +62,17 @@
 
 # What upstreams say of themselves; generated apart from the other events.
 NOTICE_KINDS = (EventKind.NAME_LIMITS, EventKind.SAY_LEAVING)
-FAULT_KINDS = tuple(kind for kind in EventKind if kind not in NOTICE_KINDS)
+# What lets the views of nodes differ; generated apart as well.
+VIEW_KINDS = (EventKind.STORE_SILENT, EventKind.ODD_ROWS)
+FAULT_KINDS = tuple(
+    kind for kind in EventKind if kind not in (*NOTICE_KINDS, *VIEW_KINDS)
+)
 LAST_NOTICE_S = 3.0  # after the start of traffic
 MAX_NOTICES = 4
 LIMITS_S = 11.0  # a limit binds after 3 s, and is checked over 4 s
 LEAVING_S = 4.0
+MAX_SILENCE_S = 9.0
+MAX_SILENCES = 4
 
 
 class Event(NamedTuple):
@@ -198,3 +206,26 @@
         for kind, host, duration_s in chosen
     ]
     return sorted(events, key=lambda event: event.at)
+
+
+def generate_view_events(rng: random.Random, hosts: list[str]) -> list[Event]:
+    """Return silences of the store, which may overlap, and rows of another writer.
+
+    Args:
+        rng: Random number generator.
+        hosts: Names of the hosts.
+
+    """
+    silent = [
+        (EventKind.STORE_SILENT, rng.choice(hosts), rng.uniform(0.2, MAX_SILENCE_S))
+        for _ in range(rng.randint(1, MAX_SILENCES))
+    ]
+    if rng.random() < 0.3:  # silent to all of them
+        duration_s = rng.uniform(0.2, MAX_SILENCE_S)
+        silent = [(EventKind.STORE_SILENT, host, duration_s) for host in hosts]
+    chosen = [*silent, (EventKind.ODD_ROWS, rng.choice(hosts), 0.0)]
+    events = [
+        Event(rng.uniform(0.0, LAST_NOTICE_S), kind, host, duration_s, LinkFault.NONE)
+        for kind, host, duration_s in chosen
+    ]
+    return sorted(events, key=lambda event: event.at)
--- a/packages/lavenderway-dev/lavenderway_dev/view_interleaving.py
+++ b/packages/lavenderway-dev/lavenderway_dev/view_interleaving.py
@@ -22,6 +22,7 @@
 
 from lavenderway_relay.messages import Request, encode_request
 from lavenderway_relay.pools import ConnectError, ConnectionBrokenError, ConnectionPool
+from lavenderway_relay.sync import HOSTS_TABLE
 
 from lavenderway_dev.interleaving import (
     MAX_PRINTED_FINDINGS,
@@ -30,6 +31,7 @@
     VirtualNodeProcess,
     replace_system,
 )
+from lavenderway_dev.odd_rows import ODD_ROWS
 from lavenderway_dev.relay_fleet import (
     STOP_GRACE_S,
     RelayHost,
@@ -45,7 +47,6 @@
     from collections.abc import Callable
 
 MODULE = "lavenderway_dev.view_interleaving"
-HOSTS_TABLE = "lavenderway-hosts"
 ZONES = ("east", "east", "west")
 NAMES = ("h1", "h2", "h3")
 JOINING = ("j1", "j2", "a1")  # `a1` sorts before all others
@@ -65,21 +66,6 @@
 LONG_CALLS, LONG_CALL_S = 14, 0.4
 LONG_LIMIT_MS = 6000
 EXCUSED_SENT_S = 3.0  # calls sent until then may be broken off in the last sixth
-# Rows that another writer may leave among those of the hosts.
-ODD_ROWS = (
-    b"",
-    b"\xff\xfe",
-    b"[" * 100_000,
-    b'{"a":' * 5_000,
-    b"1e999",
-    b'{"host":"odd","address":"10.0.0.1:99999","domain":"east","serving":true,'
-    b'"started":1}',
-    b'{"host":"odd","address":"10.0.0.1:80","domain":"east","serving":true,'
-    b'"started":1e999}',
-    b'{"host":"odd","address":"10.0.0.1:80","domain":"east","serving":true,'
-    b'"started":1,"upstream":{"id":"i","service":"s","address":"10.0.0.1:81",'
-    b'"slots":1e400,"status":"ready","born":1,"sequence":' + b"9" * 400 + b"}}",
-)
 
 
 class ViewRun:
--- a/tests/dev/test_soak.py
+++ b/tests/dev/test_soak.py
@@ -386,3 +386,15 @@
 
     async def test_unplanned_faults(self) -> None:
         self.assertEqual([], await run_soak(seed=502, notices=True))
+
+
+class ViewSoaks(unittest.IsolatedAsyncioTestCase):
+    """Real processes whose views differ as the store falls silent to some of them."""
+
+    SEPARATE_PROCESSES = True
+
+    async def asyncSetUp(self) -> None:
+        asyncio.get_running_loop().set_debug(False)
+
+    async def test_unplanned_faults(self) -> None:
+        self.assertEqual([], await run_soak(seed=602, views=True))
