--- a/packages/lavenderway-relay/lavenderway_relay/quota.py
+++ b/packages/lavenderway-relay/lavenderway_relay/quota.py
@@ -205,8 +205,9 @@
         self._enforce_lease(now)
 
     def extend_lease(self, until: float) -> None:
-        """Postpone the end of a lease that has not expired."""
-        self._lease_until = max(until, self._lease_until)
+        """Postpone the end of the lease, unless it has expired."""
+        if not self.lease_expired:
+            self._lease_until = max(until, self._lease_until)
 
     def _enforce_lease(self, now: float) -> None:
         """Reduce the buckets if the lease has run out.
--- a/packages/lavenderway-relay/lavenderway_relay/state.py
+++ b/packages/lavenderway-relay/lavenderway_relay/state.py
@@ -98,6 +98,7 @@
     lag_s: float = 0.0
     upstream_notices: dict[HostId, UpstreamNotice] = field(default_factory=dict)
     token_role: TokenRole = field(init=False)
+    _lease_expired: bool = False  # as logged last
     tasks: BackgroundTasks = field(init=False)
     response_budget: ResponseBudget = field(init=False)
 
@@ -196,10 +197,17 @@
 
         A lease that has run out is renewed only by a later confirmation.
         """
-        if not self.quota.lease_expired:
-            self.quota.extend_lease(self._lease_until)
-        elif now < self._lease_until:
+        if math.isinf(self._lease_until):
+            return  # nothing was confirmed yet
+        if self.quota.lease_expired and now < self._lease_until:
             self.update_quota(now)
+        else:
+            self.quota.extend_lease(self._lease_until)
+        if self.quota.lease_expired is not self._lease_expired:
+            self._lease_expired = self.quota.lease_expired
+            event = "keeper.lease_expired" if self._lease_expired else "keeper.renewed"
+            age_s = self.view_ages.age_s(View.HOSTS, now)
+            self.log.state(event, now, age_ms=round(age_s * 1e3))
 
     @property
     def _lease_until(self) -> float:
--- a/tests/relay/test_token_role.py
+++ b/tests/relay/test_token_role.py
@@ -3,6 +3,7 @@
 import os
 import unittest
 from dataclasses import replace
+from unittest import mock
 
 from lavenderway_core.ids import FailureDomainId, HostId, WorkspaceId
 from lavenderway_relay.model import Configuration, HostRecord, Workspace
@@ -124,6 +125,17 @@
         renewed = self.count_tokens([owner], begin + WINDOW_S)
         self.assertGreater(renewed, 0.95 * WORKSPACE.rate_per_s * WINDOW_S)
 
+    def test_end_and_renewal_of_the_lease_are_logged(self) -> None:
+        owner = self.make_owner()
+        with mock.patch.object(owner.log, "state") as record:
+            for now in (1.0, LEASE_S, LEASE_S + 1.0):
+                owner.quota.take(WORKSPACE.id, now)
+                owner.renew_lease(now)
+            owner.view_ages.confirm(View.HOSTS, LEASE_S + 2.0)
+            owner.renew_lease(LEASE_S + 2.0)
+        events = [call.args[0] for call in record.call_args_list]
+        self.assertEqual(["keeper.lease_expired", "keeper.renewed"], events)
+
     def test_leaving_owner_issues_nothing(self) -> None:
         owner = self.make_owner()
         owner.token_role.release()
