--- a/packages/lavenderway-dev/lavenderway_dev/bench.py
+++ b/packages/lavenderway-dev/lavenderway_dev/bench.py
@@ -10,10 +10,18 @@
     bench_limits,
     bench_overload,
     bench_rates,
+    bench_views,
 )
 from lavenderway_dev.bench_registry import BENCHMARKS
 
-MODULES = (bench_hops, bench_rates, bench_control, bench_overload, bench_limits)
+MODULES = (
+    bench_hops,
+    bench_rates,
+    bench_control,
+    bench_overload,
+    bench_limits,
+    bench_views,
+)
 
 
 def main() -> int:
