Ask only reachable hosts to acknowledge a joining one

A host that joins beside a dead one asked it up to ten times a second for the rest of its life, and each failed question put off the probe by which the load balancer finds the host again. Unreachable hosts are left to the probes now, which come every 2 s at most.

Measured: test_unreachable_host_is_left_to_the_probes and the changed expectation of test_next_host_replaces_an_unreachable_first_one fail on the code before, which asks the unreachable host, and pass.

--- a/packages/lavenderway-relay/lavenderway_relay/token_role.py
+++ b/packages/lavenderway-relay/lavenderway_relay/token_role.py
@@ -105,6 +105,7 @@
     ) -> list[HostRecord]:
         """Return the hosts to ask for an acknowledgement.
 
+        Unreachable hosts are left to the probes of the load balancer.
         Hosts of other failure domains are asked by the first reachable host of a
         failure domain, for all of its hosts, and by the others only if that one takes
         longer than `FIRST_HOST_WAIT_S`. Until then, they ask it for the outcome.
@@ -115,9 +116,12 @@
             now: Current monotonic time in seconds.
 
         """
-        missing = self._missing(members)
+        missing = [
+            record for record in self._missing(members) if is_reachable(record.host)
+        ]
+        nearby = [record for record in missing if self._is_nearby(record)]
         if self.established:
-            return [record for record in missing if self._is_nearby(record)]
+            return nearby
         first = min(
             (
                 record
@@ -131,7 +135,6 @@
         waits_for_first = now - requested_at < FIRST_HOST_WAIT_S
         if first is None or self._host <= first.host or not waits_for_first:
             return missing
-        nearby = [record for record in missing if self._is_nearby(record)]
         return nearby if first in nearby else [first, *nearby]
 
     def share(self, members: Collection[HostRecord], now: float) -> float:
