--- a/packages/lavenderway-dev/lavenderway_dev/role_exploration.py
+++ b/packages/lavenderway-dev/lavenderway_dev/role_exploration.py
@@ -229,7 +229,9 @@
     return Exploration(len(seen), None)
 
 
-def joins(host: str, others: tuple[str, ...] = ()) -> tuple[Operation, ...]:
+def list_join_operations(
+    host: str, others: tuple[str, ...] = ()
+) -> tuple[Operation, ...]:
     """Return the operations by which a host joins a fleet without disruption."""
     return (
         ("start", host),
--- a/tests/dev/test_role_exploration.py
+++ b/tests/dev/test_role_exploration.py
@@ -4,13 +4,17 @@
 from unittest import mock
 
 from lavenderway_dev import role_exploration
-from lavenderway_dev.role_exploration import Operation, explore, joins
+from lavenderway_dev.role_exploration import Operation, explore, list_join_operations
 from lavenderway_relay.token_role import TokenRole
 
 ONE_DOMAIN = {"a": "east", "b": "east"}
 TWO_DOMAINS = {"a": "east", "b": "west"}
 THREE_HOSTS = {"a": "east", "b": "east", "c": "east"}
-BOTH_JOINED = (*joins("a"), *joins("b", ("a",)), ("read", "a"))
+BOTH_JOINED = (
+    *list_join_operations("a"),
+    *list_join_operations("b", ("a",)),
+    ("read", "a"),
+)
 CUT_OFF: tuple[Operation, ...] = (("lose store", "a"), ("cut", "a", "b"))
 
 
@@ -28,16 +32,18 @@
         self.assert_bounded(ONE_DOMAIN, (), 6)
 
     def test_host_joins_an_owner(self) -> None:
-        self.assert_bounded(ONE_DOMAIN, joins("a"), 6)
+        self.assert_bounded(ONE_DOMAIN, list_join_operations("a"), 6)
 
     def test_host_joins_an_owner_that_is_cut_off(self) -> None:
-        self.assert_bounded(ONE_DOMAIN, (*joins("a"), *CUT_OFF), 6)
+        self.assert_bounded(ONE_DOMAIN, (*list_join_operations("a"), *CUT_OFF), 6)
 
     def test_host_joins_a_frozen_owner(self) -> None:
-        self.assert_bounded(ONE_DOMAIN, (*joins("a"), ("freeze", "a")), 6)
+        self.assert_bounded(
+            ONE_DOMAIN, (*list_join_operations("a"), ("freeze", "a")), 6
+        )
 
     def test_first_host_of_a_failure_domain_joins(self) -> None:
-        self.assert_bounded(TWO_DOMAINS, (*joins("a"), *CUT_OFF), 6)
+        self.assert_bounded(TWO_DOMAINS, (*list_join_operations("a"), *CUT_OFF), 6)
 
     def test_third_host_joins(self) -> None:
         self.assert_bounded(THREE_HOSTS, BOTH_JOINED, 4)
@@ -59,7 +65,7 @@
         self.assertEqual(1.0, self.issued(ONE_DOMAIN, *BOTH_JOINED))
 
     def test_part_of_a_silent_host_is_half_issued_after_the_lease(self) -> None:
-        operations = (*joins("a"), *CUT_OFF, *joins("b"))
+        operations = (*list_join_operations("a"), *CUT_OFF, *list_join_operations("b"))
         wait: Operation = ("wait",)
         self.assertEqual(0.0, self.issued(ONE_DOMAIN, *operations, ("kill", "a")))
         later = (*operations, ("kill", "a"), wait, wait, ("read", "b"))
@@ -86,12 +92,18 @@
         self.assertIsNotNone(exploration.violation)
 
     def test_joining_host_that_does_not_wait(self) -> None:
-        self.assert_found(1.0, ONE_DOMAIN, *joins("a"))
-        self.assert_found(1.0, TWO_DOMAINS, *joins("a"))
+        self.assert_found(1.0, ONE_DOMAIN, *list_join_operations("a"))
+        self.assert_found(1.0, TWO_DOMAINS, *list_join_operations("a"))
 
     def test_host_without_a_lease(self) -> None:
         with mock.patch.object(role_exploration, "SPLIT_SHARE", 1.0):
             exploration = explore(
-                ONE_DOMAIN, prelude=(*joins("a"), *CUT_OFF, *joins("b")), depth=4
+                ONE_DOMAIN,
+                prelude=(
+                    *list_join_operations("a"),
+                    *CUT_OFF,
+                    *list_join_operations("b"),
+                ),
+                depth=4,
             )
         self.assertIsNotNone(exploration.violation)
