Known red: a configuration version that cannot be passed on

docs/incidents/0007 said that the decoders of all tables had been tried with numbers too large; the version of the configuration had not.

--- a/tests/platform_adapter/test_decoding.py
+++ b/tests/platform_adapter/test_decoding.py
@@ -73,6 +73,12 @@
 class ConfigurationDecoding(unittest.TestCase):
     """An invalid configuration document raises an error that names the key path."""
 
+    def test_version_that_cannot_be_passed_on_is_refused(self) -> None:
+        """Every forwarded request carries the version, in JSON of 64 bits."""
+        document = make_config(1, {"r": make_route("/a/", "s")}, {})
+        with self.assertRaises(ConfigurationFormatError):
+            decode_configuration(orjson.dumps({**document, "version": "f" * 20}))
+
     def test_valid_configuration(self) -> None:
         tenants = {"t": {"api-keys": ["k"], "priority": 1, "rate-per-s": 5, "burst": 2}}
         document = make_config(12, {"r": make_route("/a/", "s")}, tenants)
