--- a/tests/end_to_end/test_pressing_callers.py
+++ b/tests/end_to_end/test_pressing_callers.py
@@ -52,6 +52,7 @@
 
     RUN_ALONE = True
     SEPARATE_PROCESSES = True
+    routes = ROUTES
 
     async def asyncSetUp(self) -> None:
         server = ServerPlan(
@@ -64,7 +65,7 @@
             memory_mb=MEMORY_MB,
             max_descriptors=MAX_DESCRIPTORS,
         )
-        config = make_config(1, ROUTES)
+        config = make_config(1, self.routes)
         config["limits"]["max-body-bytes"] = MAX_BODY_BYTES
         self.fleet = RelayFleet([plan], config=config)
         await self.enterAsyncContext(self.fleet)
