One overflow of the memory ledger ends one client

Callers saw answers cut in the middle although they read them at a good pace: each time that slow readers filled the memory, all connections with an unread answer ended.

The ledger ends one client after the other until the maximum is no longer exceeded, but a connection that it aborted gave its bytes back only when the event loop reported the end of the connection. So the ledger did not see what it had freed and went on to the last client. A connection that gives way now frees its bytes at once, and of clients that are not stalled the one with the least progress goes first, not the one that holds the most.

What a client did not do in time stays owed, up to ten seconds: before, one byte made it look as if it kept pace. Time in which the process did not run does not count, since what clients sent or took meanwhile is not known yet.

--- a/packages/lavenderway-relay/lavenderway_relay/client.py
+++ b/packages/lavenderway-relay/lavenderway_relay/client.py
@@ -194,7 +194,7 @@
         if framing_bytes > self._limits.framing_bytes + self._body_bytes:
             self.exceed_limit(ResponseLimit.FRAMING)
             return
-        self._budget.add(self, byte_count, self._loop.time())
+        self._budget.add(self, byte_count)
         if byte_count >= LARGE_READ_BYTES and not self._transport.is_closing():
             self._transport.pause_reading()
             self._loop.call_soon(self._resume_reading)
@@ -339,8 +339,7 @@
         self._drop_response()
         if isinstance(body, bytearray):
             byte_count = int(len(body) * BUFFER_GROWTH)
-            now = self._loop.time()
-            memory = CountedMemory(budget=self._budget, byte_count=byte_count, now=now)
+            memory = CountedMemory(budget=self._budget, byte_count=byte_count)
         response = Response(
             self._status, headers, body, reusable and not unsent, memory
         )
--- a/packages/lavenderway-relay/lavenderway_relay/connection_memory.py
+++ b/packages/lavenderway-relay/lavenderway_relay/connection_memory.py
@@ -11,8 +11,6 @@
 from lavenderway_relay.memory_ledger import BUFFER_GROWTH, Account, Purpose
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from lavenderway_relay.memory_ledger import Holder, MemoryLedger
     from lavenderway_relay.pending_requests import PendingRequests
     from lavenderway_relay.request_parser import RequestParser
@@ -27,7 +25,6 @@
         ledger: Ledger of the process.
         parser: Holds the request that is being read.
         pending: The requests that are being served, and their responses.
-        get_time: Returns the event loop time, in seconds.
 
     Attributes:
         requests: Account of the requests that are being read or served.
@@ -36,7 +33,7 @@
     """
 
     __slots__ = (
-        "_get_time",
+        "_clock",
         "_holder",
         "_ledger",
         "_parser",
@@ -53,26 +50,32 @@
         ledger: MemoryLedger,
         parser: RequestParser,
         pending: PendingRequests,
-        get_time: Callable[[], float],
     ) -> None:
         self._holder = holder
         self._ledger = ledger
         self._parser = parser
         self._pending = pending
-        self._get_time = get_time
+        self._clock = ledger.clock
         self._unread_bytes = 0
         self.requests: Account | None = None
         self.responses: Account | None = None
 
     def record_receiving(self, byte_count: int) -> None:
         """Record how much of a request has just arrived."""
-        now = self._get_time()
+        now = self._clock.now
         if self.requests is None:
             self.requests = Account(
                 holder=self._holder, purpose=Purpose.REQUEST, now=now
             )
+        elif not self.requests.held_bytes:
+            self.requests.restart(now)
         self.requests.record_progress(byte_count, now)
 
+    def restart_receiving(self) -> None:
+        """Measure the client from now on, as it had to wait for this node."""
+        if self.requests is not None:
+            self.requests.restart(self._clock.now)
+
     def count_requests(self, *, waiting: bool = False) -> bool:
         """Count the requests received; return whether there is room for them.
 
@@ -91,21 +94,23 @@
         account = self.requests
         assert account is not None
         account.may_give_way = reader is not None
-        now = self._get_time()
+        now = self._clock.now
         return self._ledger.try_set(account, byte_count, now, waiting=waiting)
 
     def count_responses(self, writer: ResponseWriter) -> None:
         """Count the responses that wait for earlier ones, or for the client."""
-        self.record_reading(writer)
         held_bytes = writer.held_bytes if writer.paused else 0
         byte_count = int((self._pending.response_bytes + held_bytes) * BUFFER_GROWTH)
-        now = self._get_time()
+        now = self._clock.now
+        self.record_reading(writer)
         if self.responses is None:
             if not byte_count:
                 return
             self.responses = Account(
                 holder=self._holder, purpose=Purpose.RESPONSE, now=now
             )
+        elif not self.responses.held_bytes:
+            self.responses.restart(now)
         self.responses.may_give_way = held_bytes > 0
         self._ledger.set(self.responses, byte_count, now)
 
@@ -114,7 +119,7 @@
         unread_bytes = writer.unwritten_bytes if writer.paused else 0
         read_bytes = self._unread_bytes - unread_bytes
         if self.responses is not None and read_bytes > 0:
-            self.responses.record_progress(read_bytes, self._get_time())
+            self.responses.record_progress(read_bytes, self._clock.now)
         self._unread_bytes = unread_bytes
 
     def close(self) -> None:
--- a/packages/lavenderway-relay/lavenderway_relay/memory_ledger.py
+++ b/packages/lavenderway-relay/lavenderway_relay/memory_ledger.py
@@ -13,6 +13,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Protocol
 
+from lavenderway_relay.pace import Pace, PaceClock
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -25,9 +27,6 @@
 SMALL_RESERVE_FRACTION = 0.1  # part of the maximum that only small messages may take
 # Part of the maximum that requests waiting for room leave free.
 WAITING_RESERVE_FRACTION = 0.05
-# Bytes a second of a slow mobile line; a client below it is stalled.
-MIN_PROGRESS_BYTES_PER_S = 8_192
-STALL_GRACE_S = 2.0  # a pause of a live connection is shorter
 SEARCH_PAUSE_S = 0.05  # between two searches for stalled clients that found none
 
 
@@ -43,44 +42,32 @@
     """Holds bytes that are counted in a ledger."""
 
     def give_way(self, account: Account) -> None:
-        """Free bytes of the account, and count what remains."""
+        """Free bytes of the account, and count at once what remains."""
 
 
-class Account:
+class Account(Pace):
     """Bytes that one holder has taken, and its progress.
 
     Args:
         holder: Frees the bytes when they are needed elsewhere.
         purpose: What the bytes are held for.
-        now: Current monotonic time in seconds.
+        now: Time of the ledger's clock in seconds.
 
     Attributes:
         held_bytes: Bytes taken at present.
         may_give_way: Whether the holder can be made to free them. False while a
             request is being run.
-        on_pace_until: Time until which the client is fast enough, even without any
-            further progress, in seconds.
 
     """
 
-    __slots__ = ("held_bytes", "holder", "may_give_way", "on_pace_until", "purpose")
+    __slots__ = ("held_bytes", "holder", "may_give_way", "purpose")
 
     def __init__(self, *, holder: Holder, purpose: Purpose, now: float) -> None:
+        super().__init__(now=now)
         self.holder = holder
         self.purpose = purpose
         self.held_bytes = 0
         self.may_give_way = True
-        self.on_pace_until = now + STALL_GRACE_S
-
-    def record_progress(self, byte_count: int, now: float) -> None:
-        """Record bytes that the client has sent or taken."""
-        earned_s = byte_count / MIN_PROGRESS_BYTES_PER_S
-        until = max(self.on_pace_until, now) + earned_s
-        self.on_pace_until = min(until, now + STALL_GRACE_S)
-
-    def stalled_s(self, now: float) -> float:
-        """Return for how long the client has been too slow; 0.0 if it is not."""
-        return max(0.0, now - self.on_pace_until)
 
 
 class MemoryLedger:
@@ -90,6 +77,7 @@
         max_bytes: Bytes that may be held; infinite without a limit.
 
     Attributes:
+        clock: Time by which clients are measured.
         on_room: Called when bytes have been freed.
 
     """
@@ -99,6 +87,7 @@
         self._accounts: set[Account] = set()
         self._held_by_purpose = dict.fromkeys(Purpose, 0)
         self._search_at = -math.inf
+        self.clock = PaceClock()
         self.on_room: list[Callable[[], None]] = []
 
     @property
@@ -120,7 +109,7 @@
         Args:
             account: The account.
             byte_count: Bytes that it is to hold.
-            now: Current monotonic time in seconds.
+            now: Time of the ledger's clock in seconds.
             waiting: Whether the account only keeps what it holds until there is room.
 
         """
@@ -142,13 +131,13 @@
     def set(self, account: Account, byte_count: int, now: float) -> None:
         """Change the bytes of an account; beyond the maximum, others give way.
 
-        If no client is stalled, the account that holds the most gives way. That may be
+        If no client is stalled, the one with the least progress gives way. That may be
         the changed one itself.
 
         Args:
             account: The account.
             byte_count: Bytes that it holds already.
-            now: Current monotonic time in seconds.
+            now: Time of the ledger's clock in seconds.
 
         """
         grows = byte_count > account.held_bytes
@@ -161,7 +150,7 @@
 
         Args:
             max_bytes: Bytes that may be held; infinite without a limit.
-            now: Current monotonic time in seconds.
+            now: Time of the ledger's clock in seconds.
 
         """
         self._max_bytes = max_bytes
@@ -194,9 +183,9 @@
                 callback()
 
     def _reduce(self, now: float, *, wanting: Account | None = None) -> None:
-        """Let accounts give way until no more than the maximum is held."""
+        """Let accounts give way, one at a time, until the maximum is not exceeded."""
         while self.held_bytes > self._max_bytes:
-            pressed = self._find_stalled(wanting, now) or self._find_largest()
+            pressed = self._find_stalled(wanting, now) or self._find_slowest()
             if pressed is None:
                 return
             self._press(pressed)
@@ -219,11 +208,14 @@
             default=None,
         )
 
-    def _find_largest(self) -> Account | None:
-        """Return the account that may give way and holds the most."""
-        return max(
+    def _find_slowest(self) -> Account | None:
+        """Return the account that may give way and has the least progress.
+
+        Of several that are alike, the one that holds the most.
+        """
+        return min(
             (account for account in self._accounts if account.may_give_way),
-            key=lambda account: account.held_bytes,
+            key=lambda account: (account.on_pace_until, -account.held_bytes),
             default=None,
         )
 
--- a/packages/lavenderway-relay/lavenderway_relay/response_limits.py
+++ b/packages/lavenderway-relay/lavenderway_relay/response_limits.py
@@ -74,16 +74,15 @@
     Args:
         budget: Counts the memory.
         byte_count: Memory of the response.
-        now: Event loop time, in seconds.
 
     """
 
     __slots__ = ("_budget", "_byte_count")
 
-    def __init__(self, *, budget: ResponseBudget, byte_count: int, now: float) -> None:
+    def __init__(self, *, budget: ResponseBudget, byte_count: int) -> None:
         self._budget: ResponseBudget | None = budget
         self._byte_count = byte_count
-        budget.count_complete(byte_count, now)
+        budget.count_complete(byte_count)
 
     def release(self) -> None:
         """Stop counting the memory; whoever holds it counts it from now on."""
@@ -127,7 +126,7 @@
         while self.held_bytes > self._max_bytes:
             self._fail_largest()
 
-    def add(self, holder: ResponseHolder, byte_count: int, now: float) -> None:
+    def add(self, holder: ResponseHolder, byte_count: int) -> None:
         """Count received bytes; above the maximum, fail the largest response.
 
         Many responses exceed the maximum only together. Failing the largest one
@@ -136,30 +135,29 @@
         Args:
             holder: The response.
             byte_count: Number of bytes received.
-            now: Event loop time, in seconds.
 
         """
         self._held_by[holder] = self._held_by.get(holder, 0) + byte_count
         self.held_bytes += byte_count
         while self.held_bytes > self._max_bytes:
             self._fail_largest()
-        self._count(now)
+        self._count()
 
     def release(self, holder: ResponseHolder) -> None:
         """Stop counting the bytes of a response that is complete or has failed."""
         released_bytes = self._held_by.pop(holder, 0)
         if released_bytes:
             self.held_bytes -= released_bytes
-            self._count(0.0)
+            self._count()
 
-    def count_complete(self, byte_count: int, now: float) -> None:
+    def count_complete(self, byte_count: int) -> None:
         """Count a complete response; beyond the maximum of the ledger, others give way.
 
         Args:
             byte_count: Memory of the response.
-            now: Event loop time, in seconds.
 
         """
+        now = self._ledger.clock.now
         self._ledger.set(self._complete, self._complete.held_bytes + byte_count, now)
 
     def release_complete(self, byte_count: int) -> None:
@@ -177,7 +175,8 @@
         self.release(largest)
         largest.exceed_limit(ResponseLimit.MEMORY)
 
-    def _count(self, now: float) -> None:
+    def _count(self) -> None:
+        now = self._ledger.clock.now
         self._account.may_give_way = bool(self._held_by)
         # Upstreams are not clients that could stall; their responses have deadlines.
         self._account.record_progress(self._account.held_bytes, now)
--- a/packages/lavenderway-relay/lavenderway_relay/server.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server.py
@@ -143,6 +143,7 @@
 
     def check_pressure(self, now: float) -> None:
         """Refuse requests that found no memory in time, and note who reads."""
+        self.ledger.clock.advance(now)
         for connection in tuple(self.unread):
             connection.record_reading()
         for connection, refuse_at in tuple(self._waiting.items()):
--- a/packages/lavenderway-relay/lavenderway_relay/server_connection.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server_connection.py
@@ -18,10 +18,7 @@
 )
 from lavenderway_relay.connection_memory import ConnectionMemory
 from lavenderway_relay.memory_ledger import SMALL_BYTES
-from lavenderway_relay.messages import (
-    Request,
-    encode_response_parts,
-)
+from lavenderway_relay.messages import Request, encode_response_parts
 from lavenderway_relay.pending_requests import PendingRequests
 from lavenderway_relay.request_parser import RefusedInputError, RequestParser
 from lavenderway_relay.response_writer import ResponseWriter
@@ -77,7 +74,6 @@
             ledger=server.ledger,
             parser=self._parser,
             pending=self._pending,
-            get_time=server.loop.time,
         )
         self._waits_for_memory = False
         self._keep_alive = True
@@ -240,6 +236,7 @@
         if not self._memory.count_requests():
             return False
         self._waits_for_memory = False
+        self._memory.restart_receiving()
         self._send_continue()
         self._update_reading()
         return True
@@ -305,9 +302,11 @@
 
     def abort(self) -> None:
         """Abort the connection without writing pending responses."""
-        self.closing = True
+        self._cancel_pending()
         self._writer.drop()
         self._transport.abort()
+        # The event loop reports the end later, when others would have given way too.
+        self._memory.close()
 
     async def _respond(self, pending: PendingRequest, request: Request) -> None:
         if self._server.may_be_lagging():
--- a/packages/lavenderway-relay/lavenderway_relay/state.py
+++ b/packages/lavenderway-relay/lavenderway_relay/state.py
@@ -122,7 +122,7 @@
         )
         self.ledger = MemoryLedger()
         self.response_budget = ResponseBudget(ledger=self.ledger)
-        self.apply_memory_limit(0.0)
+        self.apply_memory_limit()
 
     def divides_shortage(self, now: float) -> bool:
         """Return whether a service lacks room that is to be divided fairly.
@@ -139,13 +139,14 @@
     def apply_settings(self, settings: NodeSettings, now: float) -> None:
         """Apply settings that have been read again."""
         self.settings = settings
-        self.apply_memory_limit(now)
+        self.apply_memory_limit()
         self.quota.extra_burst = settings.extra_burst
         self.update_quota(now)
 
-    def apply_memory_limit(self, now: float) -> None:
+    def apply_memory_limit(self) -> None:
         """Bound what the process holds by the memory limit in the settings."""
         memory_bytes = self.settings.memory_bytes
+        now = self.ledger.clock.now
         if memory_bytes is None:
             self.ledger.resize(math.inf, now)
             self.response_budget.resize(MAX_HELD_BYTES)
--- a/tests/end_to_end/test_pressing_callers.py
+++ b/tests/end_to_end/test_pressing_callers.py
@@ -10,6 +10,7 @@
 import socket
 import unittest
 from collections.abc import Awaitable, Callable
+from typing import ClassVar
 
 from lavenderway_dev.relay_config import make_config, make_route
 from lavenderway_dev.relay_fleet import RelayFleet, RelayHost, RelayHostPlan
@@ -52,7 +53,7 @@
 
     RUN_ALONE = True
     SEPARATE_PROCESSES = True
-    routes = ROUTES
+    routes: ClassVar = ROUTES
 
     async def asyncSetUp(self) -> None:
         server = ServerPlan(
--- a/tests/relay/test_memory_ledger.py
+++ b/tests/relay/test_memory_ledger.py
@@ -4,14 +4,18 @@
 import unittest
 
 from lavenderway_relay.memory_ledger import (
-    MIN_PROGRESS_BYTES_PER_S,
     SMALL_BYTES,
-    STALL_GRACE_S,
     Account,
     MemoryLedger,
     Purpose,
     compute_max_held_bytes,
 )
+from lavenderway_relay.pace import (
+    MAX_STEP_S,
+    MIN_PROGRESS_BYTES_PER_S,
+    STALL_GRACE_S,
+    PaceClock,
+)
 
 MAX_BYTES = 1_000_000
 LARGE_BYTES = 400_000
@@ -137,6 +141,21 @@
         self.assertTrue(self.take(2, 300_000, STALL_GRACE_S + 4.1))
         self.assertEqual([1], self.gave_way)
 
+    def test_a_byte_now_and_then_is_no_progress(self) -> None:
+        self.take(0, LARGE_BYTES)
+        self.take(1, LARGE_BYTES)
+        for tenth in range(1, 100):
+            self.holders[0].account.record_progress(1, tenth / 10)
+            account = self.holders[1].account
+            account.record_progress(MIN_PROGRESS_BYTES_PER_S, tenth / 10)
+        self.assertTrue(self.take(2, LARGE_BYTES, 9.9))
+        self.assertEqual([0], self.gave_way)
+
+    def test_client_that_goes_on_is_on_pace_again(self) -> None:
+        account = self.holders[0].account
+        account.record_progress(20 * MIN_PROGRESS_BYTES_PER_S, 1_000.0)
+        self.assertEqual(0.0, account.stalled_s(1_000.0 + STALL_GRACE_S))
+
     def test_request_that_is_being_run_keeps_its_memory(self) -> None:
         self.take(0, 900_000)
         self.holders[0].account.may_give_way = False
@@ -159,6 +178,24 @@
         self.ledger.set(self.holders[1].account, 800_000, LATER_S)
         self.assertEqual([0], self.gave_way)
 
+    def test_reader_on_pace_goes_after_one_that_has_read_nothing(self) -> None:
+        """Also if it holds more, and neither is stalled yet."""
+        self.ledger.set(self.holders[0].account, 500_000, 0.0)
+        self.ledger.set(self.holders[1].account, 400_000, 0.0)
+        self.holders[0].account.record_progress(100_000, 1.0)
+        self.ledger.set(self.holders[2].account, 300_000, 1.0)
+        self.assertEqual([1], self.gave_way)
+
+
+class Clock(unittest.TestCase):
+    """Clients are measured by the time in which the process ran."""
+
+    def test_time_without_ticks_does_not_count(self) -> None:
+        clock = PaceClock()
+        for loop_now in (50.0, 50.1, 90.0, 90.1):
+            clock.advance(loop_now)
+        self.assertAlmostEqual(0.2 + MAX_STEP_S, clock.now)
+
 
 class MaximumOfAProcess(unittest.TestCase):
     """A legal body of 64 MB fits into the memory of the smallest machines."""
--- a/tests/relay/test_server_memory.py
+++ b/tests/relay/test_server_memory.py
@@ -8,9 +8,10 @@
 
 import orjson
 from lavenderway_dev.store_standin import allocate_port
-from lavenderway_relay.memory_ledger import STALL_GRACE_S, MemoryLedger, Purpose
+from lavenderway_relay.memory_ledger import MemoryLedger, Purpose
 from lavenderway_relay.messages import Request, Response, encode_request
 from lavenderway_relay.model import Address, Limits
+from lavenderway_relay.pace import STALL_GRACE_S
 from lavenderway_relay.pools import ConnectionBrokenError, ConnectionPool
 from lavenderway_relay.refusals import refuse_malformed_input
 from lavenderway_relay.response_limits import ResponseBudget
@@ -251,6 +252,12 @@
         async with asyncio.timeout(PATIENCE_S):
             await reading.reader.readexactly(LONG_RESPONSE_BYTES)
 
+    async def test_one_overflow_ends_one_client(self) -> None:
+        request = b"GET /long HTTP/1.1\r\nhost: a\r\n\r\n"
+        for _ in range(3):
+            await (await self.send(request)).read_head()
+        self.assertEqual(["unread_response"], self.pressed)
+
     async def test_response_counts_whole_until_it_is_read(self) -> None:
         """The part that the socket has taken is not freed before the rest."""
         client = await self.send(b"GET /long HTTP/1.1\r\nhost: a\r\n\r\n")
