Count responses behind an unread one

Clients that pipelined two requests for long answers and read slowly took a node over its memory limit. The second response was written behind the unread first one, but counted only while a further request was pending; small ones that waited for a slow first one were not counted at all, and stayed counted once they had been written if large.

Now all that waits on a connection counts, whenever it changes. Of clients with equal progress, the one whose response needs the room does not go first.

--- a/packages/lavenderway-relay/lavenderway_relay/connection_memory.py
+++ b/packages/lavenderway-relay/lavenderway_relay/connection_memory.py
@@ -60,6 +60,11 @@
         self.requests: Account | None = None
         self.responses: Account | None = None
 
+    @property
+    def holds_responses(self) -> bool:
+        """Whether bytes of responses are counted."""
+        return self.responses is not None and self.responses.held_bytes > 0
+
     def record_receiving(self, byte_count: int) -> None:
         """Record how much of a request has just arrived."""
         now = self._clock.now
--- a/packages/lavenderway-relay/lavenderway_relay/memory_ledger.py
+++ b/packages/lavenderway-relay/lavenderway_relay/memory_ledger.py
@@ -185,7 +185,7 @@
     def _reduce(self, now: float, *, wanting: Account | None = None) -> None:
         """Let accounts give way, one at a time, until the maximum is not exceeded."""
         while self.held_bytes > self._max_bytes:
-            pressed = self._find_stalled(wanting, now) or self._find_slowest()
+            pressed = self._find_stalled(wanting, now) or self._find_slowest(wanting)
             if pressed is None:
                 return
             self._press(pressed)
@@ -208,14 +208,19 @@
             default=None,
         )
 
-    def _find_slowest(self) -> Account | None:
+    def _find_slowest(self, wanting: Account | None) -> Account | None:
         """Return the account that may give way and has the least progress.
 
-        Of several that are alike, the one that holds the most.
+        Of several that are alike, the one that holds the most, but not the one that
+        wants the room.
         """
         return min(
             (account for account in self._accounts if account.may_give_way),
-            key=lambda account: (account.on_pace_until, -account.held_bytes),
+            key=lambda account: (
+                account.on_pace_until,
+                account is wanting,
+                -account.held_bytes,
+            ),
             default=None,
         )
 
--- a/packages/lavenderway-relay/lavenderway_relay/pending_requests.py
+++ b/packages/lavenderway-relay/lavenderway_relay/pending_requests.py
@@ -82,9 +82,10 @@
 
     @property
     def response_bytes(self) -> int:
-        """Memory of the large responses that wait for earlier ones."""
-        return sum(
+        """Memory of the responses that wait for earlier ones; 0 if all are small."""
+        byte_count = sum(
             len(pending.response.body)
             for pending in self._requests
-            if pending.response is not None and len(pending.response.body) > SMALL_BYTES
+            if pending.response is not None
         )
+        return byte_count if byte_count > SMALL_BYTES else 0
--- a/packages/lavenderway-relay/lavenderway_relay/server_connection.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server_connection.py
@@ -319,7 +319,7 @@
         if pending.request_bytes:
             pending.request_bytes = 0
             self._memory.count_requests()
-        if self._pending:
+        if self._pending or self._writer.paused or self._memory.holds_responses:
             self._memory.count_responses(self._writer)
         self._send_continue()
 
--- a/tests/relay/test_server_memory.py
+++ b/tests/relay/test_server_memory.py
@@ -20,6 +20,8 @@
 BODY_BYTES = 300_000
 MAX_BYTES = 800_000  # of all requests and responses
 LONG_RESPONSE_BYTES = 20_000_000  # exceeds the socket buffers of loopback connections
+SHORT_RESPONSE_BYTES = 8_000  # too small to be counted alone
+SIZES = {b"/long": LONG_RESPONSE_BYTES, b"/short": SHORT_RESPONSE_BYTES}
 PATIENCE_S = MEMORY_WAIT_S + STALL_GRACE_S + 5.0
 
 
@@ -74,7 +76,7 @@
 
     async def serve(self, request: Request) -> Response:
         await self.release.wait()
-        size = LONG_RESPONSE_BYTES if request.target == b"/long" else 2
+        size = SIZES.get(request.target, 2)
         return Response(200, [], bytes(size))
 
     async def connect(self) -> Client:
@@ -268,6 +270,43 @@
             await client.reader.readexactly(LONG_RESPONSE_BYTES)
         await self.wait_until_empty()
 
+    async def test_response_behind_an_unread_one_counts(self) -> None:
+        await self.send_with_one_late(b"/long", late=b"/late")
+        self.late.set()
+        async with asyncio.timeout(PATIENCE_S):
+            while self.ledger.held_for(Purpose.RESPONSE) < 2 * LONG_RESPONSE_BYTES:
+                await asyncio.sleep(0.02)
+
+    async def test_small_responses_that_wait_count_together(self) -> None:
+        await self.send_with_one_late(b"/late", *([b"/short"] * 9), late=b"/late")
+        held_bytes = self.ledger.held_for(Purpose.RESPONSE)
+        self.assertGreaterEqual(held_bytes, 9 * SHORT_RESPONSE_BYTES)
+
+    async def test_responses_that_waited_count_no_longer(self) -> None:
+        await self.send_with_one_late(b"/late", *([b"/short"] * 9), late=b"/late")
+        SIZES.pop(b"/late")
+        self.late.set()
+        await self.wait_until_empty()
+
+    async def send_with_one_late(self, *targets: bytes, late: bytes) -> Client:
+        """Send pipelined requests, the late one at its place or at the end."""
+        self.late = asyncio.Event()
+        SIZES[late] = LONG_RESPONSE_BYTES
+        self.addCleanup(SIZES.pop, late, None)
+
+        async def serve(request: Request) -> Response:
+            if request.target == late:
+                await self.late.wait()
+            return await self.serve(request)
+
+        self.server.serve = serve
+        if late not in targets:
+            targets = (*targets, late)
+        request = b"GET %b HTTP/1.1\r\nhost: a\r\n\r\n"
+        client = await self.send(b"".join(request % target for target in targets))
+        await asyncio.sleep(0.1)
+        return client
+
     async def test_pipelined_responses_follow_a_long_one_in_order(self) -> None:
         client = await self.send(
             b"GET /long HTTP/1.1\r\nhost: a\r\n\r\n"
