Reserve the memory of a long response before it is read

Clients that read an answer at a good pace lost it when another answer needed its room, and a single answer of 64 MiB got 502 from a node of 200 MB in calm. A response was counted as it arrived, whether there was room or not, so that others had to give way; and all incomplete responses together were limited to a quarter of the memory.

A response of announced length now takes its whole memory from the ledger when its head arrives, and its connection is not read until there is some. One of unknown length stops being read while there is none. After a second without memory, the response fails as before. Large requests leave room for responses that wait, as the work for those is done.

--- a/packages/lavenderway-relay/lavenderway_relay/client.py
+++ b/packages/lavenderway-relay/lavenderway_relay/client.py
@@ -106,6 +106,7 @@
         "_transport",
         "_unacknowledged_timeout_ms",
         "_waiter",
+        "_waits_for_memory",
         "broken",
         "failed_ids",
         "idle_since",
@@ -141,6 +142,7 @@
         self._head_only = False
         self._framed = False
         self._ends_at_eof = False
+        self._waits_for_memory = False
         self.broken = False
         self.failed_ids: set[bytes] = set()
         self.idle_since = 0.0
@@ -194,13 +196,23 @@
         if framing_bytes > self._limits.framing_bytes + self._body_bytes:
             self.exceed_limit(ResponseLimit.FRAMING)
             return
-        self._budget.add(self, byte_count)
-        if byte_count >= LARGE_READ_BYTES and not self._transport.is_closing():
+        if not self._budget.add(self, byte_count, self._loop.time()):
+            self._waits_for_memory = True
+        if self._transport.is_closing():
+            return
+        if self._waits_for_memory:
+            self._transport.pause_reading()
+        elif byte_count >= LARGE_READ_BYTES:
             self._transport.pause_reading()
             self._loop.call_soon(self._resume_reading)
 
+    def read_on(self) -> None:
+        """Read on, as there is memory for the response now."""
+        self._waits_for_memory = False
+        self._resume_reading()
+
     def _resume_reading(self) -> None:
-        if not self._transport.is_closing():
+        if not self._waits_for_memory and not self._transport.is_closing():
             self._transport.resume_reading()
 
     async def exchange(
@@ -288,6 +300,9 @@
             self._finish(reusable=False)
         elif self._announced_bytes > self._max_body_bytes:
             self._stop_parsing(ResponseLimit.BODY)
+        elif self._announced_bytes > SHARED_BODY_BYTES:
+            byte_count = int(self._announced_bytes * BUFFER_GROWTH)
+            self._budget.reserve(self, byte_count, self._loop.time())
 
     def on_body(self, body: bytes) -> None:
         """Append a fragment of the body, up to the size limit."""
@@ -304,6 +319,7 @@
     def on_message_complete(self) -> None:
         """Deliver a final response unless it is for another request."""
         if self._status < MIN_FINAL_STATUS or self._is_for_other_request():
+            self._budget.release(self)
             self._skipped_responses += 1
             if self._skipped_responses > self._limits.skipped_responses:
                 self._stop_parsing(ResponseLimit.SKIPPED)
@@ -359,6 +375,7 @@
 
     def _drop_response(self) -> None:
         """Free what this connection holds of a response."""
+        self._waits_for_memory = False
         self._headers = []
         self._body = bytearray()
         self._budget.release(self)
--- a/packages/lavenderway-relay/lavenderway_relay/memory_ledger.py
+++ b/packages/lavenderway-relay/lavenderway_relay/memory_ledger.py
@@ -77,6 +77,8 @@
         max_bytes: Bytes that may be held; infinite without a limit.
 
     Attributes:
+        awaited_bytes: Bytes that responses wait for. Large requests leave them room, as
+            the work for a response is done.
         clock: Time by which clients are measured.
         on_room: Called when bytes have been freed.
 
@@ -87,6 +89,7 @@
         self._accounts: set[Account] = set()
         self._held_by_purpose = dict.fromkeys(Purpose, 0)
         self._search_at = -math.inf
+        self.awaited_bytes = 0
         self.clock = PaceClock()
         self.on_room: list[Callable[[], None]] = []
 
@@ -113,7 +116,10 @@
             waiting: Whether the account only keeps what it holds until there is room.
 
         """
-        limit = self._limit(byte_count)
+        if byte_count <= account.held_bytes:
+            self._set(account, byte_count)
+            return True
+        limit = self._limit(account, byte_count)
         if waiting:
             limit = max(limit, self._max_bytes * (1.0 - WAITING_RESERVE_FRACTION))
         if not self._has_room(account, byte_count, limit) and now >= self._search_at:
@@ -145,6 +151,10 @@
         if grows:
             self._reduce(now, wanting=account)
 
+    def record(self, account: Account, byte_count: int) -> None:
+        """Change the bytes of an account whose holder stops growing by itself."""
+        self._set(account, byte_count)
+
     def resize(self, max_bytes: float, now: float) -> None:
         """Change the maximum; if more is held, clients give way at once.
 
@@ -162,10 +172,13 @@
         """Give back all bytes of an account."""
         self._set(account, 0)
 
-    def _limit(self, byte_count: int) -> float:
+    def _limit(self, account: Account, byte_count: int) -> float:
         if byte_count <= SMALL_BYTES:
             return self._max_bytes
-        return self._max_bytes * (1.0 - SMALL_RESERVE_FRACTION)
+        limit = self._max_bytes * (1.0 - SMALL_RESERVE_FRACTION)
+        if account.purpose is Purpose.REQUEST:
+            limit -= self.awaited_bytes
+        return limit
 
     def _has_room(self, account: Account, byte_count: int, limit: float) -> bool:
         return self.held_bytes - account.held_bytes + byte_count <= limit
--- a/packages/lavenderway-relay/lavenderway_relay/node.py
+++ b/packages/lavenderway-relay/lavenderway_relay/node.py
@@ -19,6 +19,7 @@
 from lavenderway_relay.model import Limits, UpstreamStatus
 from lavenderway_relay.peer_client import PeerClient
 from lavenderway_relay.peer_handler import PeerRequestHandler
+from lavenderway_relay.pressure_log import PressureLog
 from lavenderway_relay.quota import WorkspaceTokens
 from lavenderway_relay.refusals import refuse_malformed_input
 from lavenderway_relay.server import HttpServer
@@ -127,13 +128,14 @@
         )
         self._upstream_runner.on_leaving = self._sync.publish
         peer_handler.on_record = self._sync.learn_member
+        pressure_log = PressureLog(state=self.state, loop=loop)
         self._caller_server = HttpServer(
             loop=loop,
             serve=self._caller_handler.serve,
             refuse=refuse_malformed_input,
             limits=lambda: self.state.limits,
             ledger=self.state.ledger,
-            log_pressed=partial(self._log_pressed, "callers"),
+            log_pressed=partial(pressure_log.record_end, "callers"),
         )
         self._peer_server = HttpServer(
             loop=loop,
@@ -142,7 +144,7 @@
             limits=lambda: PEER_LIMITS,
             unacknowledged_timeout_ms=PEER_UNACKNOWLEDGED_TIMEOUT_MS,
             ledger=self.state.ledger,
-            log_pressed=partial(self._log_pressed, "peers"),
+            log_pressed=partial(pressure_log.record_end, "peers"),
         )
         self._servers = [self._caller_server, self._peer_server]
         self._limit_connections()
@@ -296,24 +298,11 @@
         self._peer_client.tick(now)
         self._caller_server.check_pressure(now)
         self._peer_server.check_pressure(now)
+        self.state.response_budget.check(now)
         self.state.renew_lease(now)
         for loan_request in self.state.quota.tick(now):
             self.state.tasks.start(self._peer_client.borrow(loan_request), self._loop)
 
-    def _log_pressed(self, listener: str, reason: str, held_bytes: int) -> None:
-        """Log a request or connection that was ended for want of room."""
-        self.state.metrics.count(
-            "pressed_connections", listener=listener, reason=reason
-        )
-        self.state.log.failure(
-            "connection.pressed",
-            self._loop.time(),
-            listener=listener,
-            reason=reason,
-            held_bytes=held_bytes,
-            all_held_bytes=self.state.ledger.held_bytes,
-        )
-
     def _close_idle_connections(self, now: float) -> None:
         self._caller_server.close_idle(now)
         self._peer_server.close_idle(now)
--- a/packages/lavenderway-relay/lavenderway_relay/state.py
+++ b/packages/lavenderway-relay/lavenderway_relay/state.py
@@ -16,6 +16,7 @@
 from lavenderway_relay.response_limits import (
     HELD_FRACTION,
     MAX_HELD_BYTES,
+    MAX_RESERVED_BYTES,
     ResponseBudget,
 )
 from lavenderway_relay.routing import RouteTable, WeightedRoundRobin
@@ -149,7 +150,9 @@
         now = self.ledger.clock.now
         if memory_bytes is None:
             self.ledger.resize(math.inf, now)
-            self.response_budget.resize(MAX_HELD_BYTES)
+            self.response_budget.resize(
+                MAX_HELD_BYTES, max_reserved_bytes=MAX_RESERVED_BYTES
+            )
         else:
             self.ledger.resize(compute_max_held_bytes(memory_bytes), now)
             self.response_budget.resize(int(memory_bytes * HELD_FRACTION))
