Read connections whose input takes long to parse in turn

Forty clients that sent bodies in chunks of one byte hung a node: nobody else got an answer. Parsing runs once for each chunk, some 40,000 times for a read of 256 KB, and the event loop reads one socket up to 32 times before it turns to the next.

A read is now limited to 16 KB, except in a body of announced length, which costs one step whatever its size. A connection whose last read was costly is read again only after all others that wait, two of them in each round of the event loop. Input is parsed in parts of 4 KB, so that a connection that may not go on (64 requests pending, no memory) stops there; before, all requests of a read of 256 KB ran at once.

--- a/packages/lavenderway-relay/lavenderway_relay/request_parser.py
+++ b/packages/lavenderway-relay/lavenderway_relay/request_parser.py
@@ -87,6 +87,16 @@
         self.reader: RequestReader | None = None
         self.message_since: float | None = None
 
+    @property
+    def in_body(self) -> bool:
+        """Whether the head of the present request is complete, but not its body."""
+        return self.reader is not None and self.reader.in_body
+
+    @property
+    def expected_body_bytes(self) -> int:
+        """Bytes that are left of a body of announced length; 0 for others."""
+        return 0 if self.reader is None else self.reader.expected_body_bytes
+
     def drop_unfinished(self) -> bool:
         """Forget an incomplete request; return whether there was one."""
         had_reader = self.reader is not None
@@ -94,7 +104,7 @@
         self.message_since = None
         return had_reader
 
-    def feed(self, data: bytes) -> int:
+    def feed(self, data: bytes | memoryview) -> int:
         """Parse received bytes.
 
         Returns:
--- a/packages/lavenderway-relay/lavenderway_relay/request_reader.py
+++ b/packages/lavenderway-relay/lavenderway_relay/request_reader.py
@@ -58,6 +58,13 @@
         """Bytes of the body received so far."""
         return len(self._body)
 
+    @property
+    def expected_body_bytes(self) -> int:
+        """Bytes that are left of a body of announced length; 0 for others."""
+        if not self.in_body:
+            return 0
+        return max(0, self._announced_bytes - len(self._body))
+
     @property
     def held_bytes(self) -> int:
         """Memory that the received part takes."""
--- a/packages/lavenderway-relay/lavenderway_relay/server.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server.py
@@ -8,6 +8,7 @@
 from lavenderway_relay._sockets import bind_socket
 from lavenderway_relay.memory_ledger import MemoryLedger
 from lavenderway_relay.model import Limits
+from lavenderway_relay.read_turns import LARGE_READ_BYTES, ReadTurns
 from lavenderway_relay.server_connection import READ_DELAY_S, ServerConnection
 
 if TYPE_CHECKING:
@@ -44,6 +45,8 @@
         connections: The open connections.
         idle: Idle connections, as keys, in the order in which they became idle. New
             ones are added if their first request takes long.
+        turns: Turns of the connections whose input takes long to parse.
+        read_buffer: Receives what is read; the connections share it.
         unread: Connections whose clients have not read their responses, as keys.
         max_connections: Number of connections above which idle ones are closed, the
             longest idle first, and then those with an unfinished request.
@@ -76,6 +79,8 @@
         self.ledger = ledger or MemoryLedger()
         self.ledger.on_room.append(self._schedule_admission)
         self.log_pressed = log_pressed
+        self.turns = ReadTurns(loop=loop)
+        self.read_buffer = memoryview(bytearray(LARGE_READ_BYTES))
         self.unread: dict[ServerConnection, None] = {}
         self._waiting: dict[ServerConnection, float] = {}
         self._admission_scheduled = False
--- a/packages/lavenderway-relay/lavenderway_relay/server_connection.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server_connection.py
@@ -16,6 +16,7 @@
     count_unacknowledged_bytes,
     set_unacknowledged_timeout,
 )
+from lavenderway_relay.connection_input import ConnectionInput
 from lavenderway_relay.connection_memory import ConnectionMemory
 from lavenderway_relay.memory_ledger import SMALL_BYTES
 from lavenderway_relay.messages import Request, encode_response_parts
@@ -32,7 +33,7 @@
 READ_DELAY_S = 0.001  # any positive delay lets the loop read the socket
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.BufferedProtocol):
     """One connection of a client; responds to pipelined requests in order.
 
     Args:
@@ -46,13 +47,12 @@
     """
 
     __slots__ = (
-        "_discarding",
+        "_input",
         "_keep_alive",
         "_lingering",
         "_memory",
         "_parser",
         "_pending",
-        "_reading_paused",
         "_server",
         "_transport",
         "_waits_for_memory",
@@ -67,6 +67,12 @@
             handler=self, limits=server.limits, get_time=server.loop.time
         )
         self._pending = PendingRequests()
+        self._input = ConnectionInput(
+            parser=self._parser,
+            parse=self._parse,
+            turns=server.turns,
+            get_time=server.loop.time,
+        )
         self._transport: asyncio.Transport
         self._writer: ResponseWriter
         self._memory = ConnectionMemory(
@@ -78,8 +84,6 @@
         self._waits_for_memory = False
         self._keep_alive = True
         self._lingering: LingeringClose | None = None
-        self._reading_paused = False
-        self._discarding = False
         self.closing = False
         self.idle_since = server.loop.time()
 
@@ -93,11 +97,6 @@
         """Account of a request that has been received in part; None without one."""
         return self._memory.requests if self._parser.reader is not None else None
 
-    @property
-    def reading_head(self) -> bool:
-        """Whether a request head has been received in part."""
-        return self._parser.message_since is not None
-
     @property
     def unwritten_bytes(self) -> int:
         """Number of response bytes that the client has not taken yet."""
@@ -112,6 +111,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the server."""
         self._transport = cast("asyncio.Transport", transport)
+        self._input.start(self._transport)
         self._writer = ResponseWriter(transport=self._transport)
         timeout_ms = self._server.unacknowledged_timeout_ms
         if timeout_ms is not None:
@@ -126,6 +126,7 @@
         if self._lingering is not None:
             self._lingering.cancel()
         self._cancel_pending()
+        self._input.discard()
         self._parser.drop_unfinished()
         self._writer.drop()
         self._memory.close()
@@ -165,14 +166,24 @@
         if self._writer.paused:
             self._memory.record_reading(self._writer)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read."""
+        del sizehint
+        return self._input.choose_buffer(self._server.read_buffer)
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse what has been read into the buffer."""
+        self._input.receive(self._server.read_buffer[:nbytes])
+
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes."""
-        if self._discarding:
-            return
+        """Parse received bytes, if the event loop uses no buffer."""
+        self._input.receive(data)
+
+    def _parse(self, data: bytes | memoryview) -> None:
         try:
             progress_bytes = self._parser.feed(data)
         except RefusedInputError as error:
-            if not self._discarding:
+            if not self._input.discarding:
                 self._refuse(error.status)
             return
         if self._parser.reader is not None:
@@ -195,7 +206,7 @@
         self._waits_for_memory = False
         if not keep_alive:
             self._keep_alive = False
-            self._discarding = True
+            self._input.discard()
         pending = self._pending.add()
         held_bytes = reader.held_bytes
         pending.request_bytes = held_bytes if held_bytes > SMALL_BYTES else 0
@@ -250,12 +261,11 @@
 
     def give_way(self, account: Account) -> None:
         """End what the client does not go on with, to free its memory."""
-        is_response = account is self._memory.responses
-        reason = "unread_response" if is_response else "unfinished_request"
-        self._server.log_pressed(reason, account.held_bytes)
-        if is_response:
+        if account is self._memory.responses:
+            self._server.log_pressed("unread_response", account.held_bytes)
             self.abort()
         else:
+            self._server.log_pressed("unfinished_request", account.held_bytes)
             self._refuse(HTTPStatus.REQUEST_TIMEOUT)
 
     def end_unfinished(self) -> None:
@@ -278,10 +288,7 @@
 
     def is_head_late(self, now: float, timeout_s: float) -> bool:
         """Return whether a request head takes longer than a timeout to arrive."""
-        since = self._parser.message_since
-        if since is None or self.closing or self._reading_paused:
-            return False
-        return now - since > timeout_s
+        return not self.closing and self._input.is_head_late(now, timeout_s)
 
     def is_idle(self, now: float, timeout_s: float) -> bool:
         """Return whether the connection has been idle for longer than a timeout."""
@@ -296,7 +303,7 @@
 
     def take_no_more(self) -> None:
         """Discard further input; close after the responses to what has been read."""
-        self._discarding = True
+        self._input.discard()
         self._drop_unfinished()
         self.close_when_idle()
 
@@ -354,7 +361,7 @@
 
     def _refuse(self, status: int) -> None:
         """Refuse the input, discard the rest and close after the last response."""
-        self._discarding = True
+        self._input.discard()
         self._keep_alive = False
         self._drop_unfinished()
         self._pending.add().response = self._server.refuse(status)
@@ -374,7 +381,7 @@
         discard the part of a response that the client has not received.
         """
         self.closing = True
-        self._discarding = True
+        self._input.discard()
         if not self._transport.is_closing():
             self._writer.write_eof()
             self._update_reading()
@@ -385,15 +392,7 @@
             )
 
     def _update_reading(self) -> None:
-        pause = not self.closing and (
-            self._writer.paused or self._waits_for_memory or self._pending.full
+        self._input.hold(
+            not self.closing
+            and (self._writer.paused or self._waits_for_memory or self._pending.full)
         )
-        if pause is self._reading_paused or self._transport.is_closing():
-            return
-        self._reading_paused = pause
-        if pause:
-            self._transport.pause_reading()
-        else:
-            if self._parser.message_since is not None:
-                self._parser.message_since = self._server.loop.time()
-            self._transport.resume_reading()
