Close all connections although a client has reset one

HttpServer.close() ended with an OSError if a client had reset its connection and the event loop had not reported it yet; the connections behind it stayed open. The end of the stream cannot be sent on such a connection, which is aborted now.

--- a/packages/lavenderway-relay/lavenderway_relay/response_writer.py
+++ b/packages/lavenderway-relay/lavenderway_relay/response_writer.py
@@ -87,7 +87,10 @@
             transport.write(piece)
         if self._ends and not self._parts and not transport.is_closing():
             self._ends = False
-            transport.write_eof()
+            try:
+                transport.write_eof()
+            except OSError:  # reset by the client, which the event loop reports later
+                transport.abort()
 
     def drop(self) -> None:
         """Free what has not been handed over, as the connection ends."""
--- a/tests/relay/test_server_memory.py
+++ b/tests/relay/test_server_memory.py
@@ -21,7 +21,12 @@
 MAX_BYTES = 800_000  # of all requests and responses
 LONG_RESPONSE_BYTES = 20_000_000  # exceeds the socket buffers of loopback connections
 SHORT_RESPONSE_BYTES = 8_000  # too small to be counted alone
-SIZES = {b"/long": LONG_RESPONSE_BYTES, b"/short": SHORT_RESPONSE_BYTES}
+MEDIUM_RESPONSE_BYTES = 200_000  # the socket takes it whole, a slow client does not
+SIZES = {
+    b"/long": LONG_RESPONSE_BYTES,
+    b"/medium": MEDIUM_RESPONSE_BYTES,
+    b"/short": SHORT_RESPONSE_BYTES,
+}
 PATIENCE_S = MEMORY_WAIT_S + STALL_GRACE_S + 5.0
 
 
@@ -212,6 +217,23 @@
         self.server.close()
         await self.wait_until_empty()
 
+    async def test_stop_after_a_reset_that_is_not_noticed_yet(self) -> None:
+        """The other connections are closed all the same."""
+        loop = asyncio.get_running_loop()
+        clients = [socket.socket() for _ in range(2)]
+        for client in clients:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            client.setblocking(False)
+            await loop.sock_connect(client, self.address)
+            await loop.sock_sendall(client, b"GET /medium HTTP/1.1\r\nhost: a\r\n\r\n")
+            await loop.sock_recv(client, 10)
+        for client in clients:
+            client.close()  # resets, as it has not read all
+        self.server.close()
+        async with asyncio.timeout(PATIENCE_S):
+            while self.server.connections:
+                await asyncio.sleep(0.02)
+
     async def test_stop_within_a_response(self) -> None:
         client = await self.send(self.GET_LONG)
         await client.read_head()
