Clients that do not read give their connections to others

While slow readers held all connections, every new one was reset, although the machine said that it was ready: only idle connections and those with an unfinished request were closed to make room, never one with an unread response, also a short one that the socket has taken whole.

Beyond the number of connections, each client that only reads is now measured by what it has received, with the same pace as for memory. Stalled ones end first, whatever they stopped in, then unfinished requests, those that have sent the least first: before, an upload at a good pace could end for a new connection that had sent a few bytes. A client that reads at a good pace keeps its connection.

--- a/packages/lavenderway-relay/lavenderway_relay/connection_input.py
+++ b/packages/lavenderway-relay/lavenderway_relay/connection_input.py
@@ -26,7 +26,6 @@
         parser: Parser of the connection.
         parse: Parses a part of the input.
         turns: Turns of the connections of the server.
-        get_time: Returns the event loop time, in seconds.
 
     Attributes:
         discarding: Whether further input is read, but not parsed.
@@ -35,7 +34,6 @@
     """
 
     __slots__ = (
-        "_get_time",
         "_held",
         "_parse",
         "_parser",
@@ -53,12 +51,10 @@
         parser: RequestParser,
         parse: Callable[[bytes | memoryview], None],
         turns: ReadTurns,
-        get_time: Callable[[], float],
     ) -> None:
         self._parser = parser
         self._parse = parse
         self._turns = turns
-        self._get_time = get_time
         self._transport: asyncio.Transport
         self._unparsed = b""
         self._held = False
@@ -150,5 +146,5 @@
             self._transport.pause_reading()
         else:
             if self._parser.message_since is not None:
-                self._parser.message_since = self._get_time()
+                self._parser.message_since = self._turns.loop.time()
             self._transport.resume_reading()
--- a/packages/lavenderway-relay/lavenderway_relay/read_turns.py
+++ b/packages/lavenderway-relay/lavenderway_relay/read_turns.py
@@ -32,10 +32,13 @@
     Args:
         loop: The event loop.
 
+    Attributes:
+        loop: The event loop.
+
     """
 
     def __init__(self, *, loop: asyncio.AbstractEventLoop) -> None:
-        self._loop = loop
+        self.loop = loop
         self._readers: deque[Reader] = deque()
         self._scheduled = False
 
@@ -51,7 +54,7 @@
     def _schedule(self) -> None:
         if not self._scheduled:
             self._scheduled = True
-            self._loop.call_soon(self._run)
+            self.loop.call_soon(self._run)
 
     def _run(self) -> None:
         self._scheduled = False
--- a/packages/lavenderway-relay/lavenderway_relay/response_writer.py
+++ b/packages/lavenderway-relay/lavenderway_relay/response_writer.py
@@ -10,6 +10,7 @@
 
 from typing import TYPE_CHECKING
 
+from lavenderway_relay._sockets import LingeringClose, count_unacknowledged_bytes
 from lavenderway_relay.messages import SHARED_BODY_BYTES
 
 if TYPE_CHECKING:
@@ -30,19 +31,30 @@
 
     """
 
-    __slots__ = ("_ends", "_offset", "_parts", "_transport", "paused")
+    __slots__ = ("_ends", "_lingering", "_offset", "_parts", "_transport", "paused")
 
     def __init__(self, *, transport: asyncio.Transport) -> None:
         self._transport = transport
         self._parts: list[bytes | bytearray] = []  # an empty deque takes 0.6 KB
         self._offset = 0
         self._ends = False
+        self._lingering: LingeringClose | None = None
         self.paused = False
 
     @property
     def unwritten_bytes(self) -> int:
         """Bytes that the socket has not taken."""
-        return self.held_bytes - self._offset
+        return self._transport.get_write_buffer_size() + self.queued_bytes
+
+    @property
+    def queued_bytes(self) -> int:
+        """Bytes that have not been handed to the transport."""
+        return sum(map(len, self._parts)) - self._offset
+
+    @property
+    def unread_bytes(self) -> int:
+        """Bytes that the client has not received."""
+        return count_unacknowledged_bytes(self._transport) + self.queued_bytes
 
     @property
     def held_bytes(self) -> int:
@@ -64,10 +76,15 @@
             self._parts.append(b"".join(small))
         self.resume()
 
-    def write_eof(self) -> None:
-        """End the stream after all responses."""
+    def close(self, loop: asyncio.AbstractEventLoop) -> None:
+        """End the stream after all responses, and close once the client has them."""
         self._ends = True
         self.resume()
+        self._lingering = LingeringClose(
+            transport=self._transport,
+            loop=loop,
+            has_unread_response=lambda: self.unread_bytes > 0,
+        )
 
     def resume(self) -> None:
         """Write as much as the transport takes."""
@@ -96,3 +113,5 @@
         """Free what has not been handed over, as the connection ends."""
         self._parts.clear()
         self._offset = 0
+        if self._lingering is not None:
+            self._lingering.cancel()
--- a/packages/lavenderway-relay/lavenderway_relay/server.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from lavenderway_relay._sockets import bind_socket
+from lavenderway_relay.connection_places import choose_ended
 from lavenderway_relay.memory_ledger import MemoryLedger
 from lavenderway_relay.model import Limits
 from lavenderway_relay.read_turns import LARGE_READ_BYTES, ReadTurns
@@ -49,7 +50,7 @@
         read_buffer: Receives what is read; the connections share it.
         unread: Connections whose clients have not read their responses, as keys.
         max_connections: Number of connections above which idle ones are closed, the
-            longest idle first, and then those with an unfinished request.
+            longest idle first, and then those with the least progress.
         acceptance_limit: Number of connections above which new ones are aborted.
         stopping: Whether each connection closes after the response to its last
             pending request.
@@ -113,7 +114,7 @@
             connection.abort()
 
     def close_surplus(self) -> None:
-        """Close the longest idle connections if there are too many connections.
+        """Close connections if there are too many, the longest idle ones first.
 
         Callers that open a connection for each retry, and keep the former ones, would
         otherwise use up the descriptors of the process.
@@ -121,21 +122,27 @@
         while len(self.connections) > self.max_connections and self.idle:
             connection = next(iter(self.idle))
             del self.idle[connection]
-            if not connection.has_unread_response:
+            if connection.has_unread_response:
+                connection.watch_place(self.ledger.clock.now)
+            else:
                 connection.close_when_idle()
                 self.connections.discard(connection)
-        self._end_unfinished()
-
-    def _end_unfinished(self) -> None:
-        """End the slowest unfinished requests if there are too many connections."""
         surplus = len(self.connections) - self.max_connections
-        if surplus <= 0:
-            return
-        unfinished = [each for each in self.connections if each.unfinished is not None]
-        unfinished.sort(key=_read_pace)
-        for connection in unfinished[: math.ceil(surplus)]:
-            connection.end_unfinished()
-            self.connections.discard(connection)
+        if surplus > 0:
+            self._end_slowest(math.ceil(surplus))
+
+    def _end_slowest(self, count: int) -> None:
+        """End the clients that make the least progress, as far as they give way."""
+        claims = [claim for each in self.connections if (claim := each.claim)]
+        for claim in choose_ended(claims, count, self.ledger.clock.now):
+            claim.connection.end_for_place()
+
+    def _watch_places(self) -> None:
+        """Measure who reads, while there are too many connections."""
+        if len(self.connections) > self.max_connections:
+            for connection in tuple(self.connections):
+                connection.watch_place(self.ledger.clock.now)
+            self.close_surplus()
 
     def forget(self, connection: ServerConnection) -> None:
         """Remove a connection that has ended."""
@@ -149,6 +156,7 @@
     def check_pressure(self, now: float) -> None:
         """Refuse requests that found no memory in time, and note who reads."""
         self.ledger.clock.advance(now)
+        self._watch_places()
         for connection in tuple(self.unread):
             connection.record_reading()
         for connection, refuse_at in tuple(self._waiting.items()):
@@ -261,8 +269,3 @@
         self.stop_accepting()
         for connection in tuple(self.connections):
             connection.take_no_more()
-
-
-def _read_pace(connection: ServerConnection) -> float:
-    account = connection.unfinished
-    return math.inf if account is None else account.on_pace_until
--- a/packages/lavenderway-relay/lavenderway_relay/server_connection.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server_connection.py
@@ -11,13 +11,10 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, cast
 
-from lavenderway_relay._sockets import (
-    LingeringClose,
-    count_unacknowledged_bytes,
-    set_unacknowledged_timeout,
-)
+from lavenderway_relay._sockets import set_unacknowledged_timeout
 from lavenderway_relay.connection_input import ConnectionInput
 from lavenderway_relay.connection_memory import ConnectionMemory
+from lavenderway_relay.connection_places import Claim, UnreadPlace, update_place
 from lavenderway_relay.memory_ledger import SMALL_BYTES
 from lavenderway_relay.messages import Request, encode_response_parts
 from lavenderway_relay.pending_requests import PendingRequests
@@ -49,10 +46,10 @@
     __slots__ = (
         "_input",
         "_keep_alive",
-        "_lingering",
         "_memory",
         "_parser",
         "_pending",
+        "_place",
         "_server",
         "_transport",
         "_waits_for_memory",
@@ -68,10 +65,7 @@
         )
         self._pending = PendingRequests()
         self._input = ConnectionInput(
-            parser=self._parser,
-            parse=self._parse,
-            turns=server.turns,
-            get_time=server.loop.time,
+            parser=self._parser, parse=self._parse, turns=server.turns
         )
         self._transport: asyncio.Transport
         self._writer: ResponseWriter
@@ -83,7 +77,7 @@
         )
         self._waits_for_memory = False
         self._keep_alive = True
-        self._lingering: LingeringClose | None = None
+        self._place: UnreadPlace | None = None
         self.closing = False
         self.idle_since = server.loop.time()
 
@@ -93,9 +87,13 @@
         return bool(self._pending) or self._parser.reader is not None
 
     @property
-    def unfinished(self) -> Account | None:
-        """Account of a request that has been received in part; None without one."""
-        return self._memory.requests if self._parser.reader is not None else None
+    def claim(self) -> Claim | None:
+        """Claim to the connection; None while it is idle or a request is served."""
+        if self._parser.reader is not None and self._memory.requests is not None:
+            return Claim(self, self._memory.requests, unfinished=True)
+        if self._place is None or self.busy:
+            return None
+        return Claim(self, self._place.pace, unfinished=False)
 
     @property
     def unwritten_bytes(self) -> int:
@@ -105,8 +103,7 @@
     @property
     def has_unread_response(self) -> bool:
         """Whether the client has not received all written responses yet."""
-        unread_bytes = count_unacknowledged_bytes(self._transport)
-        return bool(unread_bytes or self._writer.unwritten_bytes)
+        return self._writer.unread_bytes > 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the server."""
@@ -123,8 +120,6 @@
         self._server.connections.discard(self)
         self._server.idle.pop(self, None)
         self._server.forget(self)
-        if self._lingering is not None:
-            self._lingering.cancel()
         self._cancel_pending()
         self._input.discard()
         self._parser.drop_unfinished()
@@ -268,9 +263,21 @@
             self._server.log_pressed("unfinished_request", account.held_bytes)
             self._refuse(HTTPStatus.REQUEST_TIMEOUT)
 
-    def end_unfinished(self) -> None:
-        """Refuse the request being read and close, to free the descriptor at once."""
+    def watch_place(self, now: float) -> None:
+        """Measure the client if the connection is kept for unread responses alone."""
+        was_unread = self._place is not None
+        unread_bytes = 0 if self.busy else self._writer.unread_bytes
+        self._place = update_place(self._place, unread_bytes, now)
+        if was_unread and not unread_bytes and not (self.busy or self.closing):
+            self._server.idle.setdefault(self)
+
+    def end_for_place(self) -> None:
+        """End the connection, to free its descriptor at once."""
         self._server.log_pressed("connections", 0)
+        self._server.connections.discard(self)
+        if self._parser.reader is None:
+            self.abort()
+            return
         self._refuse(HTTPStatus.REQUEST_TIMEOUT)
         if not self._pending and not self._writer.held_bytes:
             self._transport.close()
@@ -383,13 +390,8 @@
         self.closing = True
         self._input.discard()
         if not self._transport.is_closing():
-            self._writer.write_eof()
+            self._writer.close(self._server.loop)
             self._update_reading()
-            self._lingering = LingeringClose(
-                transport=self._transport,
-                loop=self._server.loop,
-                has_unread_response=lambda: self.has_unread_response,
-            )
 
     def _update_reading(self) -> None:
         self._input.hold(
