Run pipelined requests ahead of their turn only while there are few

Some hundred connections that pipelined 64 requests each to a slow service took a node to 338 MB of 96: all of them ran at once, and a small request is not counted.

A request behind another one on its connection counts now, and it runs ahead of its turn only while a server has no more than 512 pending requests in all; beyond, a connection with more than one is not read. A client that sends one request at a time notices nothing.

--- a/packages/lavenderway-relay/lavenderway_relay/request_parser.py
+++ b/packages/lavenderway-relay/lavenderway_relay/request_parser.py
@@ -97,6 +97,11 @@
         """Bytes that are left of a body of announced length; 0 for others."""
         return 0 if self.reader is None else self.reader.expected_body_bytes
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the request that has been received in part; 0 without one."""
+        return 0 if self.reader is None else self.reader.held_bytes
+
     def drop_unfinished(self) -> bool:
         """Forget an incomplete request; return whether there was one."""
         had_reader = self.reader is not None
--- a/packages/lavenderway-relay/lavenderway_relay/server.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server.py
@@ -9,6 +9,7 @@
 from lavenderway_relay.connection_places import choose_ended
 from lavenderway_relay.memory_ledger import MemoryLedger
 from lavenderway_relay.model import Limits
+from lavenderway_relay.pending_requests import RequestTally
 from lavenderway_relay.read_turns import LARGE_READ_BYTES, ReadTurns
 from lavenderway_relay.server_connection import READ_DELAY_S, ServerConnection
 
@@ -46,6 +47,7 @@
         connections: The open connections.
         idle: Idle connections, as keys, in the order in which they became idle. New
             ones are added if their first request takes long.
+        tally: Number of pending requests of all connections.
         turns: Turns of the connections whose input takes long to parse.
         read_buffer: Receives what is read; the connections share it.
         unread: Connections whose clients have not read their responses, as keys.
@@ -80,6 +82,7 @@
         self.ledger = ledger or MemoryLedger()
         self.ledger.on_room.append(self._schedule_admission)
         self.log_pressed = log_pressed
+        self.tally = RequestTally()
         self.turns = ReadTurns(loop=loop)
         self.read_buffer = memoryview(bytearray(LARGE_READ_BYTES))
         self.unread: dict[ServerConnection, None] = {}
@@ -146,6 +149,8 @@
 
     def forget(self, connection: ServerConnection) -> None:
         """Remove a connection that has ended."""
+        self.connections.discard(connection)
+        self.idle.pop(connection, None)
         self.unread.pop(connection, None)
         self._waiting.pop(connection, None)
 
--- a/packages/lavenderway-relay/lavenderway_relay/server_connection.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server_connection.py
@@ -15,7 +15,6 @@
 from lavenderway_relay.connection_input import ConnectionInput
 from lavenderway_relay.connection_memory import ConnectionMemory
 from lavenderway_relay.connection_places import Claim, UnreadPlace, update_place
-from lavenderway_relay.memory_ledger import SMALL_BYTES
 from lavenderway_relay.messages import Request, encode_response_parts
 from lavenderway_relay.pending_requests import PendingRequests
 from lavenderway_relay.request_parser import RefusedInputError, RequestParser
@@ -63,7 +62,7 @@
         self._parser = RequestParser(
             handler=self, limits=server.limits, get_time=server.loop.time
         )
-        self._pending = PendingRequests()
+        self._pending = PendingRequests(tally=server.tally)
         self._input = ConnectionInput(
             parser=self._parser, parse=self._parse, turns=server.turns
         )
@@ -117,8 +116,6 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the connection's pending requests."""
-        self._server.connections.discard(self)
-        self._server.idle.pop(self, None)
         self._server.forget(self)
         self._cancel_pending()
         self._input.discard()
@@ -204,7 +201,7 @@
             self._input.discard()
         pending = self._pending.add()
         held_bytes = reader.held_bytes
-        pending.request_bytes = held_bytes if held_bytes > SMALL_BYTES else 0
+        pending.request_bytes = self._pending.measure(held_bytes)
         if not self._memory.count_requests():
             pending.request_bytes = 0
             self._memory.count_requests()
@@ -212,10 +209,15 @@
             pending.response = self._server.refuse(HTTPStatus.SERVICE_UNAVAILABLE)
             self._flush()
             return
-        coroutine = self._respond(pending, reader.build(method))
-        pending.task = self._server.loop.create_task(coroutine)
+        pending.request = reader.build(method)
+        self._start_requests()
         self._update_reading()
 
+    def _start_requests(self) -> None:
+        for pending, request in self._pending.take_startable():
+            coroutine = self._respond(pending, request)
+            pending.task = self._server.loop.create_task(coroutine)
+
     def _reserve(self, progress_bytes: int) -> None:
         """Reserve memory for the request being read; without any, stop reading.
 
@@ -249,9 +251,7 @@
 
     def refuse_for_memory(self) -> None:
         """Refuse the request being read, which found no memory."""
-        reader = self._parser.reader
-        held_bytes = 0 if reader is None else reader.held_bytes
-        self._server.log_pressed("no_memory", held_bytes)
+        self._server.log_pressed("no_memory", self._parser.held_bytes)
         self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
 
     def give_way(self, account: Account) -> None:
@@ -359,6 +359,7 @@
             self.idle_since = self._server.loop.time()
             if not self.busy:
                 self._server.idle[self] = None
+        self._start_requests()
         self.record_reading()
         self._writer.write(parts)
         if close:
@@ -394,7 +395,5 @@
             self._update_reading()
 
     def _update_reading(self) -> None:
-        self._input.hold(
-            not self.closing
-            and (self._writer.paused or self._waits_for_memory or self._pending.full)
-        )
+        held = self._writer.paused or self._waits_for_memory or self._pending.full
+        self._input.hold(held and not self.closing)
--- a/tests/end_to_end/test_crowds.py
+++ b/tests/end_to_end/test_crowds.py
@@ -41,6 +41,9 @@
 QUICK_READERS = 3
 QUICK_PAUSE_S = 0.005  # after each piece; some megabytes a second
 QUICK_ANSWERS = 4  # that each quick reader takes
+REQUESTS = 64  # pipelined on one connection
+REQUEST_CROWD = 560
+REQUEST_DESCRIPTORS = 2_000
 ONE_BYTE_CHUNKS = 4_000_000  # in one body
 ORDINARY_REQUESTS = 5
 WHOLE_BODY_BYTES = 67_108_864
@@ -187,6 +190,29 @@
         await self.check_node()
 
 
+class ManyRequests(CrowdCase):
+    """Many connections that each pipeline as many requests as one may."""
+
+    max_descriptors = REQUEST_DESCRIPTORS
+
+    async def test_slow_requests(self) -> None:
+        """Each request that waits takes memory, however small it is."""
+        self.host.server.plan.service_times_s["/back/slow"] = 2.5
+
+        async def send(number: int) -> None:
+            client = await self.connect(self.host.callers)
+            heads = (
+                encode_head(
+                    number * REQUESTS + index, b"content-length: 0", path=b"/back/slow"
+                )
+                for index in range(REQUESTS)
+            )
+            await asyncio.get_running_loop().sock_sendall(client, b"".join(heads))
+
+        await self.press(send, REQUEST_CROWD)
+        await self.check_node()
+
+
 class QuickReaders(CrowdCase):
     """Clients that read at a good pace, beside a crowd that does not read."""
 
--- a/tests/end_to_end/test_pressing_callers.py
+++ b/tests/end_to_end/test_pressing_callers.py
@@ -54,6 +54,7 @@
     RUN_ALONE = True
     SEPARATE_PROCESSES = True
     routes: ClassVar = ROUTES
+    max_descriptors = MAX_DESCRIPTORS
 
     async def asyncSetUp(self) -> None:
         server = ServerPlan(
@@ -64,7 +65,7 @@
             zone="east",
             server=server,
             memory_mb=MEMORY_MB,
-            max_descriptors=MAX_DESCRIPTORS,
+            max_descriptors=self.max_descriptors,
         )
         config = make_config(1, self.routes)
         config["limits"]["max-body-bytes"] = MAX_BODY_BYTES
@@ -134,7 +135,7 @@
         """Check the node while the crowd is connected."""
         assert self.host.process is not None
         peak_mb = self.host.read_peak_memory_mb()
-        self.assertLess(self.host.count_descriptors(), MAX_DESCRIPTORS)
+        self.assertLess(self.host.count_descriptors(), self.max_descriptors)
         self.assertEqual(200, (await self.send_ordinary_request()).status)
         self.assertIsNone(self.host.process.returncode)
         self.assertLess(peak_mb, MEMORY_MB)
