Treat a response with a status outside 100 to 599 as invalid

A server in trouble answered with the status 000. The node beside it took a status below 200 for an interim response and waited until the deadline; 600 to 999 was passed on as an answer, and lavenderway_node passed on 000 as well where its client accepts it.

Both data paths break such a connection now: the outcome is unknown, the caller gets the same refusal as for any other broken response, and the request is not repeated where it may have run. RFC 9110, section 15, asks to treat such a response as an error.

--- a/packages/lavenderway-dev/lavenderway_dev/upstream_standin.py
+++ b/packages/lavenderway-dev/lavenderway_dev/upstream_standin.py
@@ -11,6 +11,7 @@
 - `/leak` sets a response header field that only nodes may set.
 - `/die` breaks the connection after three chunks, `/close` before the response.
 - `/crossed` sends an unsolicited second response after the first.
+- `/status-CODE` responds with that status code, whether it is valid or not.
 """
 
 from __future__ import annotations
@@ -222,6 +223,8 @@
             loop.call_later(UNSOLICITED_DELAY_S, request.transport.write, UNSOLICITED)
         if path.endswith("/close"):
             return _abort_connection(request)
+        if (status := path.rpartition("/status-")[2]) != path:
+            return _send_raw_status(request, status)
         body = await request.read()
         return web.Response(
             body=body or b"hello\n", headers={"X-Method": request.method}
@@ -270,6 +273,15 @@
     return web.Response()
 
 
+def _send_raw_status(request: web.Request, status: str) -> web.Response:
+    """Respond with a status that the framework would not send."""
+    if request.transport is not None:
+        head = f"HTTP/1.1 {status} Odd\r\ncontent-length: 2\r\n\r\n"
+        request.transport.write(head.encode() + b"no")
+        request.transport.close()
+    return web.Response()
+
+
 async def announce(
     *, name: str, service: str, address: str, node: str, behavior: Behavior
 ) -> None:
--- a/packages/lavenderway-node/lavenderway_node/upstream_client.py
+++ b/packages/lavenderway-node/lavenderway_node/upstream_client.py
@@ -31,6 +31,7 @@
 KEEP_ALIVE_TIMEOUT_S = 4.0  # many servers close idle connections after 5 s
 CONNECT_TIMEOUT_S = 1.0
 _OVERLOAD_STATUSES = frozenset({429, 503})
+VALID_STATUSES = range(100, 600)  # RFC 9110, 15: others are treated as an error
 _NO_BODY_STATUSES = frozenset({204, 304})
 
 
@@ -141,6 +142,10 @@
             data=forwarded.body or None,
             allow_redirects=False,
         ) as response:
+            if response.status not in VALID_STATUSES:
+                raise ValueError(
+                    f"expected a status from 100 to 599, got {response.status}"
+                )
             progress.status = response.status
             fields = filter_response(response.raw_headers)
             has_no_body = (
--- a/packages/lavenderway-relay/lavenderway_relay/client.py
+++ b/packages/lavenderway-relay/lavenderway_relay/client.py
@@ -38,6 +38,7 @@
 # After a larger read, the connection is not read again before the other tasks have run.
 # uvloop would read up to 32 times in a row.
 LARGE_READ_BYTES = 65_536
+VALID_STATUSES = range(100, 600)  # RFC 9110, 15: others are treated as an error
 MIN_FINAL_STATUS = 200  # lower status codes mark interim responses
 MIN_ERROR_STATUS = 400
 MAX_FAILED_IDS = 64  # per connection; it is then closed, to bound its memory
@@ -293,6 +294,10 @@
     def on_headers_complete(self) -> None:
         """Determine how the end of the body is marked, and check its stated size."""
         self._status = self._parser.get_status_code()
+        if self._status not in VALID_STATUSES:
+            error = f"expected a status from 100 to 599, got {self._status}"
+            self._break(ConnectionBrokenError(error))
+            raise httptools.HttpParserError(error)
         if self._status < MIN_FINAL_STATUS:
             return
         self._ends_at_eof = not self._framed and (self._status not in BODYLESS_STATUSES)
