Show clients that wait or hold memory on the metrics and in the log

Operators saw who was ended, not who waits or how near the limit is. New gauges: max_held_bytes, requests_waiting, responses_waiting, reads_waiting, requests_pending and unread_connections.

--- a/packages/lavenderway-relay/lavenderway_relay/gauges.py
+++ b/packages/lavenderway-relay/lavenderway_relay/gauges.py
@@ -21,6 +21,7 @@
     state: NodeState,
     upstream_runner: UpstreamRunner,
     caller_server: HttpServer,
+    peer_server: HttpServer,
     loop: asyncio.AbstractEventLoop,
 ) -> None:
     """Register the gauges of a node with its metrics."""
@@ -44,6 +45,15 @@
         )
     for purpose in Purpose:
         gauge(f"held_{purpose.value}_bytes", partial(state.ledger.held_for, purpose))
+    gauge("max_held_bytes", lambda: state.ledger.max_bytes)
+    gauge("responses_waiting", lambda: float(state.response_budget.waiting))
+    servers = (caller_server, peer_server)
+    gauge("requests_waiting", lambda: float(sum(each.waiting for each in servers)))
+    gauge("reads_waiting", lambda: float(sum(len(each.turns) for each in servers)))
+    gauge("requests_pending", lambda: float(sum(each.tally.count for each in servers)))
+    gauge(
+        "unread_connections", lambda: float(sum(len(each.unread) for each in servers))
+    )
 
 
 def _read_age_s(state: NodeState, view: View, loop: asyncio.AbstractEventLoop) -> float:
--- a/packages/lavenderway-relay/lavenderway_relay/memory_ledger.py
+++ b/packages/lavenderway-relay/lavenderway_relay/memory_ledger.py
@@ -93,6 +93,11 @@
         self.clock = PaceClock()
         self.on_room: list[Callable[[], None]] = []
 
+    @property
+    def max_bytes(self) -> float:
+        """Bytes that may be held; infinite without a limit."""
+        return self._max_bytes
+
     @property
     def held_bytes(self) -> int:
         """Bytes held at present."""
--- a/packages/lavenderway-relay/lavenderway_relay/node.py
+++ b/packages/lavenderway-relay/lavenderway_relay/node.py
@@ -19,7 +19,7 @@
 from lavenderway_relay.model import Limits, UpstreamStatus
 from lavenderway_relay.peer_client import PeerClient
 from lavenderway_relay.peer_handler import PeerRequestHandler
-from lavenderway_relay.pressure_log import PressureLog
+from lavenderway_relay.pressure_log import PressureLog, WaitLog
 from lavenderway_relay.quota import WorkspaceTokens
 from lavenderway_relay.refusals import refuse_malformed_input
 from lavenderway_relay.server import HttpServer
@@ -129,6 +129,7 @@
         self._upstream_runner.on_leaving = self._sync.publish
         peer_handler.on_record = self._sync.learn_member
         pressure_log = PressureLog(state=self.state, loop=loop)
+        self._wait_log = WaitLog(log=log)
         self._caller_server = HttpServer(
             loop=loop,
             serve=self._caller_handler.serve,
@@ -152,6 +153,7 @@
             state=self.state,
             upstream_runner=self._upstream_runner,
             caller_server=self._caller_server,
+            peer_server=self._peer_server,
             loop=loop,
         )
 
@@ -296,9 +298,11 @@
             self._upstream_runner.apply_announcement()
         self._upstream_runner.tick(now)
         self._peer_client.tick(now)
-        self._caller_server.check_pressure(now)
-        self._peer_server.check_pressure(now)
+        for server in self._servers:
+            server.check_pressure(now)
         self.state.response_budget.check(now)
+        requests = sum(server.waiting for server in self._servers)
+        self._wait_log.update(requests, self.state.response_budget.waiting, now)
         self.state.renew_lease(now)
         for loan_request in self.state.quota.tick(now):
             self.state.tasks.start(self._peer_client.borrow(loan_request), self._loop)
--- a/packages/lavenderway-relay/lavenderway_relay/server.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server.py
@@ -154,6 +154,11 @@
         self.unread.pop(connection, None)
         self._waiting.pop(connection, None)
 
+    @property
+    def waiting(self) -> int:
+        """Number of requests that wait for memory."""
+        return len(self._waiting)
+
     def wait_for_memory(self, connection: ServerConnection) -> None:
         """Let a connection read on once there is memory, or refuse its request."""
         self._waiting[connection] = self.loop.time() + MEMORY_WAIT_S
--- a/tests/end_to_end/test_crowds.py
+++ b/tests/end_to_end/test_crowds.py
@@ -17,6 +17,8 @@
 from lavenderway_dev.relay_fleet import RelayFleet, RelayHostPlan
 from lavenderway_dev.server_standin import ServerPlan
 from lavenderway_relay.hops import HopRequest, encode_hop_request
+from lavenderway_relay.messages import Request, encode_request
+from lavenderway_relay.pools import ConnectionPool
 from lavenderway_relay.revision import Revision
 
 from tests.end_to_end.test_pressing_callers import (
@@ -301,6 +303,38 @@
         await self.check_node()
 
 
+class ShownToOperators(CrowdCase):
+    """Who waits and who was ended is on the metrics and in the log."""
+
+    async def read_metrics(self) -> dict[str, float]:
+        request = Request(b"GET", b"/metrics", [(b"host", b"x")], b"")
+        pool = ConnectionPool(loop=asyncio.get_running_loop(), connect_timeout_s=1.0)
+        self.addCleanup(pool.close)
+        response = await pool.exchange(self.host.readiness, encode_request(request))
+        lines = response.body.decode().splitlines()
+        pairs = [line.rpartition(" ") for line in lines if not line.startswith("#")]
+        return {name.partition("{")[0]: float(value) for name, _, value in pairs}
+
+    async def test_unread_answers(self) -> None:
+        for number in range(CROWD // 2):
+            await self.ask_and_stop(number, [LONG_PATH])
+        metrics = await self.read_metrics()
+        prefix = "lavenderway_"
+        for name in ("held_response_bytes", "max_held_bytes", "unread_connections"):
+            self.assertGreater(metrics[prefix + name], 0.0, name)
+        for name in (
+            "requests_waiting",
+            "responses_waiting",
+            "reads_waiting",
+            "requests_pending",
+        ):
+            self.assertIn(prefix + name, metrics)
+        events = [line["event"] for line in self.host.read_log()]
+        self.assertIn("clients.waiting", events)
+        self.assertIn("connection.pressed", events)
+        await self.check_node()
+
+
 class WholeMessages(unittest.IsolatedAsyncioTestCase):
     """A single message of the largest legal size is served on a small machine."""
 
