Acknowledge an early departure only once it is stored

A Deregister that reached a node just after its start got 200 although nothing could have been stored, and was forgotten with the process: requests reached the leaving server again. The node did not know its upstream yet, and looked for an unstored departure only at the upstream it knew.

Until the record that the host stored earlier has been read, such a departure is not acknowledged; the server sends it again. Once read, the record is stored as gone.

--- a/packages/lavenderway-relay/lavenderway_relay/announcements.py
+++ b/packages/lavenderway-relay/lavenderway_relay/announcements.py
@@ -53,6 +53,11 @@
         self._last_announced_at: float | None = None
         self._departed: dict[UpstreamId, int] = {}
 
+    @property
+    def departed_early(self) -> bool:
+        """Whether an upstream has deregistered that was not known."""
+        return self.current is None and bool(self._departed)
+
     def restore(self, upstream: Upstream | None, *, confirmed: bool = True) -> None:
         """Set the upstream that was stored before the node restarted.
 
--- a/packages/lavenderway-relay/lavenderway_relay/node.py
+++ b/packages/lavenderway-relay/lavenderway_relay/node.py
@@ -392,6 +392,9 @@
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
 
     def _has_unstored_departure(self) -> bool:
+        if self.state.local_upstream.departed_early:
+            # It is stored once the record that may name the upstream has been read.
+            return not self._sync.restored.is_set()
         upstream = self.state.local_upstream.current
         departing = upstream is not None and upstream.status is not UpstreamStatus.READY
         return departing and not self._sync.published
--- a/packages/lavenderway-relay/lavenderway_relay/sync.py
+++ b/packages/lavenderway-relay/lavenderway_relay/sync.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING, Any
 
 from lavenderway_core.ids import FailureDomainId
@@ -115,6 +116,9 @@
         evacuation_key_prefix: Prefix of the keys of evacuated failure domains in that
             table; the rest of a key is the name of the failure domain.
 
+    Attributes:
+        restored: Set once the record that this host stored earlier has been read.
+
     """
 
     def __init__(
@@ -166,7 +170,7 @@
             random=random,
             confirm_hosts=self._hosts_feed.confirm,
         )
-        self._own_record_restored = asyncio.Event()
+        self.restored = asyncio.Event()
         self._own_record_changed = asyncio.Event()
         self._own_record_stored = asyncio.Event()
         self._pull_scheduled = False
@@ -234,12 +238,10 @@
             Whether the record was stored in time.
 
         """
-        try:
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
                 await self._own_record_stored.wait()
-        except TimeoutError:
-            return False
-        return True
+        return self.published
 
     def build_own_record(self) -> HostRecord:
         """Return this host's record, built from the present state of the node."""
@@ -322,11 +324,9 @@
             )
 
     def _handle_host_rows(self, snapshot: Snapshot) -> None:
-        records = [
-            record
-            for row in snapshot.rows
-            if (record := self._decode_host_row(row, snapshot.revision.era)) is not None
-        ]
+        era = snapshot.revision.era
+        decoded = [self._decode_host_row(row, era) for row in snapshot.rows]
+        records = [record for record in decoded if record is not None]
         self._merge_records(records, snapshot.revision, "store")
         self._check_own_row(snapshot, records)
         if self._restore_task is None:
@@ -371,7 +371,7 @@
             return  # older than a write that has been acknowledged since
         deleted = row is None or row.value is None
         self._own_row = seen_at._replace(version=ABSENT) if deleted else seen_at
-        if not self._own_record_restored.is_set():
+        if not self.restored.is_set():
             return
         stored = next((record for record in records if record.host == host), None)
         published = self._state.host_registry.find(host) is not None
@@ -417,8 +417,7 @@
         """Restore the upstream from the record stored before this node restarted.
 
         A record of an older era may lack changes that the store has lost, so the peers
-        are asked for a newer one. Publishes this host's record if the stored one is
-        out of date.
+        are asked for a newer one. Publishes the record if the stored one is outdated.
         """
         try:
             record = self._find_own_record()
@@ -432,7 +431,7 @@
                 if self.build_own_record() != record:
                     self.publish()
         finally:
-            self._own_record_restored.set()
+            self.restored.set()
 
     def _find_own_record(self) -> HostRecord | None:
         return self._state.host_registry.find(self._state.settings.host)
@@ -461,7 +460,7 @@
 
     async def _join_token_owners(self) -> None:
         """Make this host own its tokens, and publish that."""
-        await self._own_record_restored.wait()
+        await self.restored.wait()
         await self._owner_join.run()
         self.publish()
 
@@ -488,7 +487,7 @@
             self._merge_records(records, NO_REVISION, "peer")
 
     async def _write_own_record(self) -> None:
-        await self._own_record_restored.wait()
+        await self.restored.wait()
         backoff_s = MIN_BACKOFF_S
         while True:
             await self._own_record_changed.wait()
--- a/tests/relay/test_sync.py
+++ b/tests/relay/test_sync.py
@@ -116,7 +116,7 @@
 
     async def start(self) -> None:
         self.sync.start()
-        await self.wait_until(lambda: self.sync._own_record_restored.is_set())
+        await self.wait_until(lambda: self.sync.restored.is_set())
 
     async def announce(self, upstream: Upstream) -> None:
         """Announce the upstream and wait until its record is stored."""
