Leave large requests three quarters of the memory while responses wait

Responses that wait for memory held back all requests of more than 8 KB, whatever they waited for. They hold back a quarter of the maximum at most now.

A client whose connection was not read, as it had too many pending requests, is measured from the moment at which it is read again, as after a wait for memory.

--- a/packages/lavenderway-relay/lavenderway_relay/connection_input.py
+++ b/packages/lavenderway-relay/lavenderway_relay/connection_input.py
@@ -90,12 +90,14 @@
         since = self._parser.message_since
         return since is not None and not self.paused and now - since > timeout_s
 
-    def hold(self, held: bool) -> None:
-        """Stop reading and parsing, or go on."""
+    def hold(self, held: bool) -> bool:
+        """Stop reading and parsing, or go on; return whether it was stopped before."""
+        goes_on = self._held and not held
         self._held = held
         if self._unparsed and not held:
             self._ask_for_turn()
         self._update()
+        return goes_on
 
     def discard(self) -> None:
         """Discard the input that is left, and all that follows."""
--- a/packages/lavenderway-relay/lavenderway_relay/memory_ledger.py
+++ b/packages/lavenderway-relay/lavenderway_relay/memory_ledger.py
@@ -27,6 +27,8 @@
 SMALL_RESERVE_FRACTION = 0.1  # part of the maximum that only small messages may take
 # Part of the maximum that requests waiting for room leave free.
 WAITING_RESERVE_FRACTION = 0.05
+# Part of the maximum that large requests leave to responses that wait, at most.
+MAX_AWAITED_FRACTION = 0.25
 SEARCH_PAUSE_S = 0.05  # between two searches for stalled clients that found none
 
 
@@ -182,7 +184,7 @@
             return self._max_bytes
         limit = self._max_bytes * (1.0 - SMALL_RESERVE_FRACTION)
         if account.purpose is Purpose.REQUEST:
-            limit -= self.awaited_bytes
+            limit -= min(self.awaited_bytes, limit * MAX_AWAITED_FRACTION)
         return limit
 
     def _has_room(self, account: Account, byte_count: int, limit: float) -> bool:
--- a/packages/lavenderway-relay/lavenderway_relay/server_connection.py
+++ b/packages/lavenderway-relay/lavenderway_relay/server_connection.py
@@ -244,7 +244,6 @@
         if not self._memory.count_requests():
             return False
         self._waits_for_memory = False
-        self._memory.restart_receiving()
         self._send_continue()
         self._update_reading()
         return True
@@ -396,4 +395,5 @@
 
     def _update_reading(self) -> None:
         held = self._writer.paused or self._waits_for_memory or self._pending.full
-        self._input.hold(held and not self.closing)
+        if self._input.hold(held and not self.closing):
+            self._memory.restart_receiving()
