Soaks with clients that send without end or do not read

A new invariant: once all clients have gone, each node holds no memory and no request (MEMORY_RETURNED).

--- a/packages/lavenderway-dev/lavenderway_dev/soak.py
+++ b/packages/lavenderway-dev/lavenderway_dev/soak.py
@@ -22,7 +22,6 @@
 from lavenderway_relay.pools import ConnectionPool
 from lavenderway_relay.sync import HOSTS_TABLE
 
-from lavenderway_dev import soak_pressing
 from lavenderway_dev.loop_stalls import StallRecorder
 from lavenderway_dev.notice_checks import LEAVING_HEADER, LIMIT_HEADER, Arrival
 from lavenderway_dev.odd_rows import ODD_ROWS
@@ -65,6 +64,8 @@
     generate_view_events,
 )
 from lavenderway_dev.soak_link import LinkFault, LinkProxy
+from lavenderway_dev.soak_memory import find_held_memory
+from lavenderway_dev.soak_pressing import choose_pressures, press_on_hosts
 from lavenderway_dev.soak_seeds import list_failed_seeds
 from lavenderway_dev.store_standin import allocate_port
 
@@ -200,9 +201,8 @@
         seconds: Length of the period in which series of events start, in seconds.
         hosts: Number of hosts.
         notices: Whether upstreams name limits and departures in their responses.
-        views: Whether the store falls silent to hosts, also to pending calls, and
-            another writer leaves rows among those of the hosts; from a seed on,
-            callers without limits press as well.
+        views: Whether the store falls silent to hosts, also to pending calls, another
+            writer leaves odd rows, and from a seed on callers without limits press.
 
     """
 
@@ -220,7 +220,7 @@
         self.view_rng = random.Random(f"views {seed}")
         self._has_notices = notices
         self._has_views = views
-        self._has_pressing_callers = views and seed >= soak_pressing.FIRST_SEED
+        self._pressures = choose_pressures(seed) if views else ()
         self.planned_only = seed % 2 == 1
         self.observations = Observations()
         self.fleet = SoakFleet(
@@ -261,10 +261,8 @@
             supervisors = [
                 asyncio.create_task(self._supervise(host)) for host in hosts.values()
             ]
-            if self._has_pressing_callers:
-                pressing = soak_pressing.press_on_hosts(
-                    [*hosts.values()], self.view_rng
-                )
+            if self._pressures:
+                pressing = press_on_hosts(hosts, self.view_rng, self._pressures)
                 supervisors.append(asyncio.create_task(pressing))
             self._stall_recorder.start()
             self._clients.start()
@@ -283,6 +281,7 @@
                 rates=WORKSPACE_LIMITS,
                 planned_only=self.planned_only,
             )
+            findings += await find_held_memory(hosts.values())
             if findings and keep_logs is not None:
                 keep_logs.mkdir(parents=True, exist_ok=True)
                 for host in hosts.values():
--- a/packages/lavenderway-dev/lavenderway_dev/soak_checks.py
+++ b/packages/lavenderway-dev/lavenderway_dev/soak_checks.py
@@ -51,6 +51,7 @@
     KEPT_RUNNING = "a node ended by itself"
     RECOVERED = "a host did not recover in time"
     CONFIGURED = "a configuration did not take effect in time"
+    MEMORY_RETURNED = "a node held memory after all clients had gone"
     EVACUATED = "an upstream of an evacuated failure domain got a request"
 
 
