--- a/tests/end_to_end/test_pressing_callers.py
+++ b/tests/end_to_end/test_pressing_callers.py
@@ -55,8 +55,17 @@
     SEPARATE_PROCESSES = True
     routes: ClassVar = ROUTES
     max_descriptors = MAX_DESCRIPTORS
+    node = "node"  # at which the crowd is
 
     async def asyncSetUp(self) -> None:
+        await self.start_fleet()
+        self.host: RelayHost = self.fleet.hosts[self.node]
+        self.sockets: list[socket.socket] = []
+        self.addCleanup(self.close_sockets)
+        self.most_descriptors = 0
+
+    async def start_fleet(self) -> None:
+        """Start one node with its upstream."""
         server = ServerPlan(
             service="back", slots=64, padding_bytes={"/long/x": LONG_ANSWER_BYTES}
         )
@@ -71,10 +80,6 @@
         config["limits"]["max-body-bytes"] = MAX_BODY_BYTES
         self.fleet = RelayFleet([plan], config=config)
         await self.enterAsyncContext(self.fleet)
-        self.host: RelayHost = self.fleet.hosts["node"]
-        self.sockets: list[socket.socket] = []
-        self.addCleanup(self.close_sockets)
-        self.most_descriptors = 0
 
     def close_sockets(self) -> None:
         for client in self.sockets:
@@ -126,7 +131,9 @@
         async with asyncio.timeout(ORDINARY_PATIENCE_S):
             while True:
                 with contextlib.suppress(ConnectError, ConnectionBrokenError):
-                    response = await self.fleet.send("node", "/back/x", body=b"hello")
+                    response = await self.fleet.send(
+                        self.node, "/back/x", body=b"hello"
+                    )
                     if response.status == 200:
                         return response
                 await asyncio.sleep(0.1)
