Interleavings: replace the socket call where it is made now

The count of unacknowledged bytes had moved from server_connection to response_writer with the places of connections, so test_interleaving and test_store_calls could not replace it.

--- a/packages/lavenderway-dev/lavenderway_dev/interleaving.py
+++ b/packages/lavenderway-dev/lavenderway_dev/interleaving.py
@@ -744,12 +744,11 @@
 def replace_system(loop: VirtualLoop, random: random_module.Random) -> Iterator[None]:
     """Replace the sockets, clocks and random numbers that the relay takes directly."""
     clock = SimpleNamespace(time=loop.time, monotonic=loop.time)
-    connection = "lavenderway_relay.server_connection"
     with contextlib.ExitStack() as stack:
         for target, value in {
             "lavenderway_relay.server.bind_socket": VirtualAddress,
-            f"{connection}.count_unacknowledged_bytes": lambda transport: (
-                transport.unacknowledged_bytes
+            "lavenderway_relay.response_writer.count_unacknowledged_bytes": (
+                lambda transport: transport.unacknowledged_bytes
             ),
             "lavenderway_relay.node.time": clock,
             "lavenderway_relay.logs.time": clock,
