Stand-in upstream: announce that the connection closes after a raw status

The outcome of an order is unknown then, and 503 is right. The stand-in sends Connection: close now.

--- a/packages/lavenderway-dev/lavenderway_dev/upstream_standin.py
+++ b/packages/lavenderway-dev/lavenderway_dev/upstream_standin.py
@@ -276,8 +276,8 @@
 def _send_raw_status(request: web.Request, status: str) -> web.Response:
     """Respond with a status that the framework would not send."""
     if request.transport is not None:
-        head = f"HTTP/1.1 {status} Odd\r\ncontent-length: 2\r\n\r\n"
-        request.transport.write(head.encode() + b"no")
+        head = f"HTTP/1.1 {status} Odd\r\nconnection: close\r\ncontent-length: 2"
+        request.transport.write(head.encode() + b"\r\n\r\nno")
         request.transport.close()
     return web.Response()
 
