--- a/tests/relay/test_read_turns.py
+++ b/tests/relay/test_read_turns.py
@@ -18,6 +18,7 @@
 
 CHUNKED_HEAD = b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
 CONNECTIONS = 6
+PATIENCE_S = 10.0
 
 
 class FakeTransport(asyncio.Transport):
@@ -138,9 +139,10 @@
         self.assertLess(self.count_running(), count // 2)
         self.assertFalse(transport.reading)
         self.release.set()
-        await asyncio.sleep(0.1)
+        async with asyncio.timeout(PATIENCE_S):
+            while transport.written.count(b"200 OK") < count or not transport.reading:
+                await asyncio.sleep(0.01)
         self.assertEqual(count, transport.written.count(b"200 OK"))
-        self.assertTrue(transport.reading)
 
     def count_running(self) -> int:
         names = [task.get_coro().__qualname__ for task in asyncio.all_tasks()]  # type: ignore[union-attr]
@@ -165,7 +167,9 @@
 
         for name in "abc":
             turns.add(Eager(name))
-        await asyncio.sleep(0.01)
+        async with asyncio.timeout(PATIENCE_S):
+            while len(order) < 9:
+                await asyncio.sleep(0.01)
         self.assertEqual("abcabcabc", "".join(order)[:9])
 
 
