Tests of waiting responses do not depend on how fast the process runs

The responses that the tests hold back would fail by themselves if the process stood still for a second, and one count was read after a fixed time. The checks are the same.

--- a/tests/relay/test_response_memory.py
+++ b/tests/relay/test_response_memory.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from lavenderway_dev.store_standin import allocate_port
 from lavenderway_relay.memory_ledger import Account, MemoryLedger, Purpose
@@ -71,6 +72,8 @@
 
     async def begin(self, head: bytes) -> asyncio.Task[Response]:
         """Begin an exchange, and wait until its response waits for memory."""
+        limit = mock.patch("lavenderway_relay.response_limits.MEMORY_WAIT_S", TIMEOUT_S)
+        self.enterContext(limit)
         exchange = asyncio.create_task(self.exchange(head))
         async with asyncio.timeout(TIMEOUT_S):
             while not self.budget.waiting:
--- a/tests/relay/test_server_memory.py
+++ b/tests/relay/test_server_memory.py
@@ -301,8 +301,9 @@
 
     async def test_small_responses_that_wait_count_together(self) -> None:
         await self.send_with_one_late(b"/late", *([b"/short"] * 9), late=b"/late")
-        held_bytes = self.ledger.held_for(Purpose.RESPONSE)
-        self.assertGreaterEqual(held_bytes, 9 * SHORT_RESPONSE_BYTES)
+        async with asyncio.timeout(PATIENCE_S):
+            while self.ledger.held_for(Purpose.RESPONSE) < 9 * SHORT_RESPONSE_BYTES:
+                await asyncio.sleep(0.02)
 
     async def test_responses_that_waited_count_no_longer(self) -> None:
         await self.send_with_one_late(b"/late", *([b"/short"] * 9), late=b"/late")
