--- a/tests/end_to_end/test_pressing_callers.py
+++ b/tests/end_to_end/test_pressing_callers.py
@@ -54,7 +54,7 @@
     RUN_ALONE = True
     SEPARATE_PROCESSES = True
     routes: ClassVar = ROUTES
-    max_descriptors = MAX_DESCRIPTORS
+    max_descriptors = MAX_DESCRIPTORS  # in the settings of the node, and checked
     node = "node"  # at which the crowd is
 
     async def asyncSetUp(self) -> None:
